--- /dev/null
+++ b/commander/demo.go
@@ -0,0 +1,195 @@
+package commander
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/pistachiogap/pistachiogap/caller"
+	"github.com/pistachiogap/pistachiogap/faker"
+	"github.com/pistachiogap/pistachiogap/generator"
+	"github.com/pistachiogap/pistachiogap/loader"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/parser"
+	"github.com/pistachiogap/pistachiogap/recorder"
+	"github.com/pistachiogap/pistachiogap/runner"
+	"github.com/pistachiogap/pistachiogap/server"
+	"github.com/pistachiogap/pistachiogap/spawner"
+)
+
+// The deployment of the demo.
+const (
+	demoVMs      = 3
+	demoNetwork  = 22
+	demoService  = 2 * time.Millisecond
+	demoStraggle = 60 * time.Millisecond
+	demoDeadline = 500 * time.Millisecond
+	demoRate     = 60
+	demoLoad     = 3 * time.Second
+	demoReady    = 5 * time.Second
+	demoIndex    = "cover"
+	demoOrders   = "rota-desk-01"
+)
+
+//go:embed demo.jsonc
+var demoQuestionnaire []byte
+
+// demoReport is what the demo prints.
+type demoReport struct {
+	Search   server.SearchAnswer `json:"search"`
+	Booking  server.OrderAnswer  `json:"booking"`
+	Runs     int                 `json:"runs-of-the-booking"`
+	Load     *loader.Result      `json:"load"`
+	Timeline []recorder.Event    `json:"timeline"`
+	Faults   []string            `json:"faults"`
+}
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name: "demo", Usage: "run three VMs with stand-ins in one process, with one searcher slow and one lost",
+		Flags:  []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print the report as JSON"}},
+		Action: demo,
+	}
+}
+
+func demo(ctx context.Context, c *cli.Command) error {
+	q, err := parser.Decode[generator.Questionnaire]("demo.jsonc", demoQuestionnaire)
+	if err != nil {
+		return err
+	}
+	cfg, _ := generator.Generate(q)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w, err := faker.StartWorld(ctx, faker.Shape{Network: demoNetwork, Configuration: cfg, Link: 500 * time.Microsecond, Service: demoService, Seed: 1})
+	if err != nil {
+		return err
+	}
+	defer w.Stop()
+	vms, ends, err := startVMs(ctx, w)
+	if err != nil {
+		return err
+	}
+	report, err := demonstrate(ctx, w, vms)
+	cancel()
+	if end := spawner.Wait(ends...); err == nil {
+		err = end
+	}
+	if err != nil {
+		return err
+	}
+	if err := report.print(c.Root().Writer, c.Bool("json")); err != nil {
+		return err
+	}
+	if len(report.Faults) > 0 {
+		return errors.Errorf("the demo found %d faults", len(report.Faults))
+	}
+	return nil
+}
+
+func startVMs(ctx context.Context, w *faker.World) ([]runner.Settings, []<-chan error, error) {
+	var settings []runner.Settings
+	var ends []<-chan error
+	for n := 1; n <= demoVMs; n++ {
+		settings = append(settings, w.Settings(n))
+	}
+	w.List(settings...)
+	for _, s := range settings {
+		vm, err := runner.NewVM(s)
+		if err != nil {
+			return nil, ends, err
+		}
+		ends = append(ends, spawner.Go(ctx, vm.Run))
+	}
+	return settings, ends, faker.WaitReady(ctx, settings, demoReady)
+}
+
+func demonstrate(ctx context.Context, w *faker.World, vms []runner.Settings) (*demoReport, error) {
+	client := caller.NewClient(netip.Addr{})
+	defer client.Close()
+	r := &demoReport{Faults: []string{}}
+	var err error
+	if r.Load, err = loader.Run(ctx, demoLoadOf(vms, 1, time.Second)); err != nil {
+		return nil, err
+	}
+	w.Of("hymn-ledger-01")[0].Change(func(c *faker.Conduct) { c.Extra = demoStraggle })
+	w.Of("hymn-ledger-02")[1].Crash(ctx, 0)
+	if r.Load, err = loader.Run(ctx, demoLoadOf(vms, 2, demoLoad)); err != nil {
+		return nil, err
+	}
+	const id = modeler.RequestID("demo-search")
+	if r.Search, err = client.Search(ctx, vms[0].Listen.Callers, demoIndex, server.Query{Text: "saturday urn", Limit: 5}, id, demoDeadline); err != nil {
+		return nil, err
+	}
+	body := map[string]string{"book": "volunteer for the urn"}
+	path, err := client.Ticket(ctx, vms[1].Listen.Callers, demoOrders, body, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	if r.Booking, err = client.Resend(ctx, vms[2].Listen.Callers, path, body, time.Second); err != nil {
+		return nil, err
+	}
+	if _, err = client.Resend(ctx, vms[0].Listen.Callers, path, body, time.Second); err != nil {
+		return nil, err
+	}
+	r.Runs = len(w.Record.Runs(func(x faker.Run) bool { return string(x.Request) == r.Booking.Ticket }))
+	var operators []netip.AddrPort
+	for _, s := range vms {
+		operators = append(operators, s.Listen.Operators)
+	}
+	r.Timeline, _ = collect(ctx, client, operators, map[netip.AddrPort]uint64{}, id)
+	r.judge(w)
+	return r, nil
+}
+
+func demoLoadOf(vms []runner.Settings, seed uint64, d time.Duration) loader.Load {
+	l := loader.Load{Index: demoIndex, Rate: demoRate, Duration: d, Deadline: demoDeadline, Seed: seed}
+	for _, s := range vms {
+		l.VMs = append(l.VMs, s.Listen.Callers)
+	}
+	return l
+}
+
+// judge checks the answers against what the stand-ins recorded.
+func (r *demoReport) judge(w *faker.World) {
+	fault := func(bad bool, what string) {
+		if bad {
+			r.Faults = append(r.Faults, what)
+		}
+	}
+	fault(r.Runs != 1, fmt.Sprintf("the booking ran %d times", r.Runs))
+	fault(!r.Search.Complete, "the search is not complete")
+	fault(len(r.Timeline) == 0, "the time line of the search is empty")
+	fault(r.Load.Failed > 0, "requests failed without an answer")
+	for _, p := range faker.CheckAnswer(w.Configuration, demoIndex, "saturday urn", r.Search) {
+		fault(true, p)
+	}
+}
+
+func (r *demoReport) print(w io.Writer, asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(w).Encode(r)
+	}
+	c := r.Search.Coverage
+	_, _ = fmt.Fprintf(w, "Search %q with one searcher slow and one lost: %s, %d of %d shards, %d of %d documents, snapshot %d\n",
+		r.Search.Request, r.Search.Outcome, c.ShardsAnswered, c.ShardsTotal, c.DocumentsSearched, c.DocumentsTotal, r.Search.Snapshot)
+	for _, h := range r.Search.Hits {
+		_, _ = fmt.Fprintf(w, "  %.4f  %s\n", h.Score, h.Document)
+	}
+	_, _ = fmt.Fprintf(w, "\nBooking sent twice through two VMs: ran %d time, answer %s\n", r.Runs, r.Booking.Result)
+	_, _ = fmt.Fprintf(w, "\nLoad with both faults:\n%s", r.Load)
+	_, _ = fmt.Fprintf(w, "\nTime line of request %s over all VMs:\n", r.Search.Request)
+	if err := printEvents(w, r.Timeline, false); err != nil {
+		return err
+	}
+	for _, f := range r.Faults {
+		_, _ = fmt.Fprintln(w, "FAULT:", f)
+	}
+	return nil
+}
--- /dev/null
+++ b/commander/doc.go
@@ -0,0 +1,2 @@
+// Package commander holds the commands of the one program.
+package commander
--- /dev/null
+++ b/commander/generate.go
@@ -0,0 +1,77 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/pistachiogap/pistachiogap/generator"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/parser"
+)
+
+func generateCommand() *cli.Command {
+	return &cli.Command{
+		Name: "generate", Usage: "make a team's configuration from its questionnaire", ArgsUsage: "QUESTIONNAIRE",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "explain", Usage: "say from which answer each value comes"},
+			&cli.StringFlag{Name: "against", Usage: "show what changes against the questionnaire in `FILE`"},
+		},
+		Action: generate,
+	}
+}
+
+func generate(_ context.Context, c *cli.Command) error {
+	cfg, why, err := generated(c.Args().First())
+	if err != nil {
+		return err
+	}
+	w := c.Root().Writer
+	if old := c.String("against"); old != "" {
+		_, before, err := generated(old)
+		if err != nil {
+			return err
+		}
+		for _, line := range generator.Compare(before, why) {
+			_, _ = fmt.Fprintln(w, line)
+		}
+		return nil
+	}
+	if c.Bool("explain") {
+		for _, e := range why {
+			_, _ = fmt.Fprintln(w, e)
+		}
+		return nil
+	}
+	b, err := json.MarshalIndent(cfg, "", "  ")
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintln(w, string(b))
+	return err
+}
+
+func generated(file string) (modeler.Configuration, []generator.Explanation, error) {
+	b, err := readArgument(file)
+	if err != nil {
+		return modeler.Configuration{}, nil, err
+	}
+	q, err := parser.Decode[generator.Questionnaire](file, b)
+	if err != nil {
+		return modeler.Configuration{}, nil, usage(err)
+	}
+	cfg, why := generator.Generate(q)
+	return cfg, why, nil
+}
+
+func readArgument(file string) ([]byte, error) {
+	if file == "" {
+		return nil, usage(errors.New("a file is needed"))
+	}
+	b, err := os.ReadFile(file)
+	return b, usage(err)
+}
--- /dev/null
+++ b/dialer/constants.go
@@ -0,0 +1,28 @@
+package dialer
+
+import "time"
+
+// Bounds of connections and answers.
+const (
+	MaxAnswerBytes  = 1 << 20
+	DialTimeout     = time.Second
+	IdleLimit       = 30 * time.Second
+	ProveAfter      = 500 * time.Millisecond
+	ShrinkPeriod    = 5 * time.Second
+	writeBufferSize = 2 << 10
+	readBufferSize  = 8 << 10
+)
+
+// The headers of the searcher protocol.
+const (
+	HeaderRequest    = "Request-Id"
+	HeaderAttempt    = "Attempt-Id"
+	HeaderSnapshot   = "Snapshot"
+	HeaderShard      = "Shard"
+	HeaderIndex      = "Index"
+	HeaderDeadline   = "Deadline-Ms"
+	HeaderDeadlineAt = "Deadline-At"
+	HeaderHeld       = "Snapshots-Held"
+	HeaderDraining   = "Draining"
+	HeaderCheck      = "Content-Check"
+)
--- /dev/null
+++ b/dialer/dialer.go
@@ -0,0 +1,283 @@
+package dialer
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/parser"
+)
+
+// Dialer holds the connections of one VM to all searchers.
+type Dialer struct {
+	mu      sync.Mutex
+	pools   map[netip.AddrPort]*pool
+	budget  func(netip.AddrPort) int
+	now     func() time.Time
+	dial    func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	retired func(addr netip.AddrPort, detail string)
+}
+
+// Option changes a Dialer under construction.
+type Option func(*Dialer)
+
+// WithBudget sets how many connections the VM may hold to a searcher.
+func WithBudget(f func(netip.AddrPort) int) Option { return func(d *Dialer) { d.budget = f } }
+
+// WithClock sets the source of the time.
+func WithClock(f func() time.Time) Option { return func(d *Dialer) { d.now = f } }
+
+// WithRetired sets what is told of each connection that is retired as silent.
+func WithRetired(f func(addr netip.AddrPort, detail string)) Option {
+	return func(d *Dialer) { d.retired = f }
+}
+
+// NewDialer makes a dialer whose connections leave from the local address.
+func NewDialer(local netip.Addr, options ...Option) *Dialer {
+	from := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
+	d := &Dialer{
+		pools:   map[netip.AddrPort]*pool{},
+		budget:  func(netip.AddrPort) int { return 1 },
+		now:     time.Now,
+		retired: func(netip.AddrPort, string) {},
+		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+			return from.DialContext(ctx, "tcp", addr.String())
+		},
+	}
+	for _, o := range options {
+		o(d)
+	}
+	return d
+}
+
+// Call is one request to a searcher.
+type Call struct {
+	Address  netip.AddrPort
+	Path     string
+	Request  modeler.RequestID
+	Attempt  string
+	Index    modeler.IndexName
+	Shard    modeler.ShardName
+	Snapshot modeler.SnapshotID
+	Deadline time.Time
+	Body     []byte
+	Proven   bool
+}
+
+// Reply is what came back of a call.
+type Reply struct {
+	Fault    gatherer.Fault
+	Body     []byte
+	Draining bool
+	Held     []modeler.SnapshotID
+	Late     bool
+}
+
+// Do sends a call on one connection and returns what came back; it never sends twice.
+func (d *Dialer) Do(ctx context.Context, call Call) Reply {
+	p := d.pool(call.Address)
+	c, err := p.take(ctx, d.now(), call.Proven)
+	if err != nil {
+		return Reply{Fault: gatherer.FaultNotSent}
+	}
+	if !d.now().Before(call.Deadline) {
+		p.put(c, c.lastRead)
+		return Reply{Fault: gatherer.FaultNotSent, Late: true}
+	}
+	sent := d.now()
+	res, body, silent, err := c.exchange(ctx, d.request(call))
+	if err != nil {
+		return Reply{Fault: d.failed(ctx, p, c, sent, silent)}
+	}
+	if res.Close {
+		p.retire(c, time.Time{})
+	} else {
+		p.put(c, d.now())
+	}
+	r := read(res, body)
+	if r.Fault == gatherer.FaultNotSent {
+		p.refused(d.now())
+	}
+	return r
+}
+
+func (d *Dialer) failed(ctx context.Context, p *pool, c *conn, sent time.Time, silent bool) gatherer.Fault {
+	if !silent {
+		p.retire(c, time.Time{})
+		return gatherer.FaultCorrupt
+	}
+	if ctx.Err() == nil {
+		p.retire(c, time.Time{})
+		return gatherer.FaultLost
+	}
+	since := time.Time{}
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		since = c.lastRead.Add(1)
+	}
+	p.retire(c, since)
+	d.retired(p.addr, "no byte for "+d.now().Sub(sent).Round(time.Millisecond).String())
+	return gatherer.FaultSilent
+}
+
+func (d *Dialer) request(call Call) *http.Request {
+	left := call.Deadline.Sub(d.now()).Milliseconds()
+	h := http.Header{
+		HeaderRequest:    {string(call.Request)},
+		HeaderAttempt:    {call.Attempt},
+		HeaderDeadline:   {strconv.FormatInt(max(1, left), 10)},
+		HeaderDeadlineAt: {strconv.FormatInt(call.Deadline.UnixMilli(), 10)},
+		"Content-Type":   {"application/json"},
+		"User-Agent":     {"pistachiogap"},
+	}
+	if call.Shard != "" {
+		h[HeaderIndex] = []string{string(call.Index)}
+		h[HeaderShard] = []string{string(call.Shard)}
+		h[HeaderSnapshot] = []string{strconv.FormatUint(uint64(call.Snapshot), 10)}
+	}
+	return &http.Request{
+		Method:        http.MethodPost,
+		URL:           &url.URL{Scheme: "http", Host: call.Address.String(), Path: call.Path},
+		Host:          call.Address.String(),
+		Header:        h,
+		Body:          io.NopCloser(bytes.NewReader(call.Body)),
+		ContentLength: int64(len(call.Body)),
+	}
+}
+
+func read(res *http.Response, body []byte) Reply {
+	r := Reply{
+		Body:     body,
+		Draining: res.Header.Get(HeaderDraining) == "true",
+		Held:     parseHeld(res.Header.Get(HeaderHeld)),
+	}
+	if check := res.Header.Get(HeaderCheck); check != "" && check != CheckValue(body) {
+		r.Fault = gatherer.FaultCorrupt
+		return r
+	}
+	if res.StatusCode == http.StatusOK {
+		return r
+	}
+	r.Fault = gatherer.FaultRejected
+	refusal, err := parser.DecodeStrict[SearcherRefusal](body)
+	if err != nil {
+		return r
+	}
+	switch refusal.Kind {
+	case RefusedDraining:
+		r.Fault, r.Draining = gatherer.FaultDraining, true
+	case RefusedShedding, RefusedLate:
+		r.Fault, r.Late = gatherer.FaultShed, refusal.Kind == RefusedLate
+	case RefusedNotHeld:
+		r.Fault = gatherer.FaultNotHeld
+	case RefusedLimit:
+		r.Fault = gatherer.FaultNotSent
+	}
+	return r
+}
+
+func parseHeld(s string) []modeler.SnapshotID {
+	if s == "" {
+		return nil
+	}
+	var ids []modeler.SnapshotID
+	for part := range strings.SplitSeq(s, ",") {
+		id, err := strconv.ParseUint(part, 10, 64)
+		if err != nil {
+			return nil
+		}
+		ids = append(ids, modeler.SnapshotID(id))
+	}
+	return ids
+}
+
+// Ping asks the searcher's load endpoint on the connection that was idle for longest, or on a new one, so that a silent connection is found before a request uses it.
+func (d *Dialer) Ping(ctx context.Context, addr netip.AddrPort, timeout time.Duration) (Load, error) {
+	p := d.pool(addr)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c := p.oldestIdle(d.now())
+	if c == nil {
+		var err error
+		if c, err = p.take(ctx, d.now(), false); err != nil {
+			return Load{}, err
+		}
+	}
+	req, err := http.NewRequest(http.MethodGet, "http://"+addr.String()+"/load", http.NoBody)
+	if err != nil {
+		return Load{}, err
+	}
+	sent := d.now()
+	res, body, silent, err := c.exchange(ctx, req)
+	if err != nil {
+		d.failed(ctx, p, c, sent, silent)
+		return Load{}, err
+	}
+	if res.Close {
+		p.retire(c, time.Time{})
+	} else {
+		p.put(c, d.now())
+	}
+	if res.StatusCode != http.StatusOK {
+		return Load{}, errors.Errorf("load endpoint answered %d", res.StatusCode)
+	}
+	return parser.DecodeStrict[Load](body)
+}
+
+// Alive reports whether the searcher answers a ping within the timeout.
+func (d *Dialer) Alive(ctx context.Context, addr netip.AddrPort, timeout time.Duration) bool {
+	_, err := d.Ping(ctx, addr, timeout)
+	return err == nil
+}
+
+// Trim applies the budgets, and drops the pools of searchers that keep does not name.
+func (d *Dialer) Trim(keep map[netip.AddrPort]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	for a, p := range d.pools {
+		if !keep[a] {
+			p.close()
+			delete(d.pools, a)
+			continue
+		}
+		p.trim(now, d.budget(a))
+	}
+}
+
+// Open returns how many connections the VM holds, and how many calls wait for one.
+func (d *Dialer) Open() (open, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		o, w := p.size()
+		open += o
+		waiting += w
+	}
+	return open, waiting
+}
+
+// Close closes all idle connections; those in use are closed when they come back.
+func (d *Dialer) Close() { d.Trim(nil) }
+
+func (d *Dialer) pool(a netip.AddrPort) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p := d.pools[a]
+	if p == nil {
+		p = &pool{addr: a, dial: d.dial, limit: d.budget(a)}
+		d.pools[a] = p
+	}
+	return p
+}
--- /dev/null
+++ b/dialer/pool.go
@@ -0,0 +1,200 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// pool holds the connections of one VM to one searcher.
+type pool struct {
+	addr    netip.AddrPort
+	dial    func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	mu      sync.Mutex
+	idle    []*conn
+	open    int
+	limit   int
+	shrunk  time.Time
+	waiters []chan grant
+	closed  bool
+	suspect time.Time
+}
+
+// grant hands a waiter an idle connection, or the right to open one.
+type grant struct{ conn *conn }
+
+// take returns a connection within the budget; proven asks for one that is new or was read from within ProveAfter.
+func (p *pool) take(ctx context.Context, now time.Time, proven bool) (*conn, error) {
+	p.mu.Lock()
+	if c := p.takeIdle(now, proven); c != nil {
+		p.mu.Unlock()
+		return c, nil
+	}
+	if p.open < p.budget(now) {
+		p.open++
+		p.mu.Unlock()
+		return p.connect(ctx)
+	}
+	w := make(chan grant, 1)
+	p.waiters = append(p.waiters, w)
+	p.mu.Unlock()
+	select {
+	case g := <-w:
+		if g.conn != nil {
+			return g.conn, nil
+		}
+		return p.connect(ctx)
+	case <-ctx.Done():
+		p.abandon(w)
+		return nil, context.Cause(ctx)
+	}
+}
+
+// takeIdle returns the idle connection read from last; it closes those that are stale or, if a proven one is asked for, too long unread.
+func (p *pool) takeIdle(now time.Time, proven bool) *conn {
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		unproven := proven && now.Sub(c.lastRead) > ProveAfter
+		if !unproven && !c.lastRead.Before(p.suspect) && !c.stale() {
+			return c
+		}
+		p.open--
+		_ = c.Close()
+	}
+	return nil
+}
+
+func (p *pool) budget(now time.Time) int {
+	if now.Sub(p.shrunk) < ShrinkPeriod {
+		return max(1, p.limit-1)
+	}
+	return p.limit
+}
+
+func (p *pool) connect(ctx context.Context) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	c, err := p.dial(ctx, p.addr)
+	if err != nil {
+		p.drop()
+		return nil, err
+	}
+	return newConn(c), nil
+}
+
+// put gives a healthy connection to the first waiter, or keeps it.
+func (p *pool) put(c *conn, now time.Time) {
+	c.lastRead = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.open > p.budget(now) {
+		p.open--
+		_ = c.Close()
+		return
+	}
+	if w := p.firstWaiter(); w != nil {
+		w <- grant{c}
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
+// retire closes a connection; after a silent one, no idle connection is trusted that was not read from since.
+func (p *pool) retire(c *conn, silentSince time.Time) {
+	_ = c.Close()
+	p.mu.Lock()
+	if silentSince.After(p.suspect) {
+		p.suspect = silentSince
+	}
+	p.mu.Unlock()
+	p.drop()
+}
+
+func (p *pool) drop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w := p.firstWaiter(); w != nil && !p.closed {
+		w <- grant{}
+		return
+	}
+	p.open--
+}
+
+func (p *pool) refused(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.shrunk = now
+}
+
+func (p *pool) firstWaiter() chan grant {
+	if len(p.waiters) == 0 {
+		return nil
+	}
+	w := p.waiters[0]
+	p.waiters = p.waiters[1:]
+	return w
+}
+
+// abandon takes a waiter out of the line, or passes on what it was granted meanwhile.
+func (p *pool) abandon(w chan grant) {
+	p.mu.Lock()
+	for i, x := range p.waiters {
+		if x == w {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.mu.Unlock()
+			return
+		}
+	}
+	p.mu.Unlock()
+	g := <-w
+	if g.conn == nil {
+		p.drop()
+		return
+	}
+	p.put(g.conn, g.conn.lastRead)
+}
+
+// trim closes idle connections beyond the limit or idle for longer than IdleLimit, and returns whether one is left.
+func (p *pool) trim(now time.Time, limit int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for len(p.idle) > 0 && (p.open > limit || now.Sub(p.idle[0].lastRead) > IdleLimit) {
+		_ = p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+	return p.open > 0
+}
+
+// oldestIdle takes out the idle connection that was unread for longest, if for longer than ProveAfter.
+func (p *pool) oldestIdle(now time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 || now.Sub(p.idle[0].lastRead) < ProveAfter {
+		return nil
+	}
+	c := p.idle[0]
+	p.idle = p.idle[1:]
+	return c
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, c := range p.idle {
+		_ = c.Close()
+		p.open--
+	}
+	p.idle = nil
+}
+
+func (p *pool) size() (open, waiting int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open, len(p.waiters)
+}
--- /dev/null
+++ b/dialer/wire.go
@@ -0,0 +1,129 @@
+package dialer
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
+
+// Hit is one document that a search found.
+type Hit struct {
+	Document string  `json:"document"`
+	Score    float64 `json:"score"`
+	Title    string  `json:"title,omitempty"`
+}
+
+// CompareHits orders hits by falling score, then by document.
+func CompareHits(a, b Hit) int {
+	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Document, b.Document))
+}
+
+// MergeHits adds hits to a sorted list, keeps the better one of a document that stands twice, and cuts the list at the limit.
+func MergeHits(into, more []Hit, limit int) []Hit {
+	into = append(into, more...)
+	slices.SortFunc(into, CompareHits)
+	seen := make(map[string]bool, len(into))
+	into = slices.DeleteFunc(into, func(h Hit) bool {
+		twice := seen[h.Document]
+		seen[h.Document] = true
+		return twice
+	})
+	return into[:min(limit, len(into))]
+}
+
+// SearchAnswer is a searcher's answer to one sub-query.
+type SearchAnswer struct {
+	Request   modeler.RequestID  `json:"request-id"`
+	Attempt   string             `json:"attempt-id"`
+	Shard     modeler.ShardName  `json:"shard"`
+	Snapshot  modeler.SnapshotID `json:"snapshot"`
+	Documents uint64             `json:"documents-searched"`
+	Hits      []Hit              `json:"hits"`
+}
+
+// Check returns the faults of the answer.
+func (a *SearchAnswer) Check() modeler.Problems {
+	var p modeler.Problems
+	if a.Request == "" {
+		p.Add("is empty", "request-id")
+	}
+	if a.Attempt == "" {
+		p.Add("is empty", "attempt-id")
+	}
+	for i, h := range a.Hits {
+		if h.Document == "" {
+			p.Add("is empty", "hits", i, "document")
+		}
+	}
+	return p
+}
+
+// RefusalKind says why a searcher refused a request before it ran it.
+type RefusalKind string
+
+// The refusals of a searcher.
+const (
+	RefusedDraining RefusalKind = "draining"
+	RefusedShedding RefusalKind = "shedding"
+	RefusedNotHeld  RefusalKind = "snapshot-not-held"
+	RefusedLate     RefusalKind = "deadline-passed"
+	RefusedLimit    RefusalKind = "connection-limit"
+)
+
+// SearcherRefusal is the body of a searcher's refusal.
+type SearcherRefusal struct {
+	Kind RefusalKind `json:"kind"`
+}
+
+// Check returns the faults of the refusal.
+func (r *SearcherRefusal) Check() modeler.Problems {
+	var p modeler.Problems
+	if r.Kind == "" {
+		p.Add("is empty", "kind")
+	}
+	return p
+}
+
+// Load is the answer of a searcher's load endpoint.
+type Load struct {
+	InFlight int                                        `json:"in-flight"`
+	Slots    int                                        `json:"slots"`
+	Draining bool                                       `json:"draining"`
+	Held     map[modeler.IndexName][]modeler.SnapshotID `json:"snapshots-held"`
+}
+
+// Check returns the faults of the load.
+func (l *Load) Check() modeler.Problems {
+	var p modeler.Problems
+	if l.InFlight < 0 || l.Slots < 0 {
+		p.Add("must not be negative", "in-flight")
+	}
+	return p
+}
+
+// CheckValue returns the check value that travels with a body.
+func CheckValue(body []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(body)) }
+
+// OrderAnswer is a searcher's answer to a non-idempotent request that it ran.
+type OrderAnswer struct {
+	Request modeler.RequestID `json:"request-id"`
+	Attempt string            `json:"attempt-id"`
+	Result  json.RawMessage   `json:"result"`
+}
+
+// Check returns the faults of the answer.
+func (a *OrderAnswer) Check() modeler.Problems {
+	var p modeler.Problems
+	if a.Request == "" {
+		p.Add("is empty", "request-id")
+	}
+	if len(a.Result) == 0 {
+		p.Add("is empty", "result")
+	}
+	return p
+}
--- /dev/null
+++ b/faker/checker.go
@@ -0,0 +1,89 @@
+package faker
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/pistachiogap/pistachiogap/caller"
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/runner"
+	"github.com/pistachiogap/pistachiogap/server"
+)
+
+const readyPoll = 20 * time.Millisecond
+
+// WaitReady waits until every VM answers its health check.
+func WaitReady(ctx context.Context, vms []runner.Settings, limit time.Duration) error {
+	client := caller.NewClient(netip.Addr{})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, s := range vms {
+		for {
+			if _, err := client.Read(ctx, s.Listen.Operators, "/admin/v1/health"); err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return errors.Errorf("VM %s is not ready after %s", s.Name, limit)
+			}
+			sleep(ctx, readyPoll)
+		}
+	}
+	return nil
+}
+
+// CheckAnswer returns what is wrong with an answer: it recomputes from one snapshot the hits and the coverage that the answer claims.
+func CheckAnswer(c modeler.Configuration, index modeler.IndexName, text string, a server.SearchAnswer) []string {
+	snapshot, ok := findSnapshot(c, index, a.Snapshot)
+	if !ok {
+		return []string{fmt.Sprintf("snapshot %d does not exist", a.Snapshot)}
+	}
+	missing := map[modeler.ShardName]bool{}
+	for _, n := range a.Coverage.Missing {
+		missing[n] = true
+	}
+	var faults []string
+	var hits []dialer.Hit
+	var searched, total uint64
+	answered := 0
+	for _, h := range snapshot.Shards {
+		total += h.Documents
+		if missing[h.Name] {
+			continue
+		}
+		answered++
+		searched += h.Documents
+		hits = append(hits, HitsOf(index, snapshot.ID, h.Name, text)...)
+	}
+	want := server.Coverage{
+		ShardsTotal: len(snapshot.Shards), ShardsAnswered: answered,
+		DocumentsTotal: total, DocumentsSearched: searched, Missing: a.Coverage.Missing,
+	}
+	if fmt.Sprint(want) != fmt.Sprint(a.Coverage) {
+		faults = append(faults, fmt.Sprintf("coverage is %+v, true is %+v", a.Coverage, want))
+	}
+	if a.Complete != (answered == len(snapshot.Shards)) {
+		faults = append(faults, "complete does not agree with the coverage")
+	}
+	expected := dialer.MergeHits(nil, hits, len(a.Hits))
+	if fmt.Sprint(expected) != fmt.Sprint(a.Hits) {
+		faults = append(faults, fmt.Sprintf("hits are %v, true are %v", a.Hits, expected))
+	}
+	return faults
+}
+
+func findSnapshot(c modeler.Configuration, index modeler.IndexName, id modeler.SnapshotID) (modeler.Snapshot, bool) {
+	for _, x := range c.Indexes {
+		for _, s := range x.Snapshots {
+			if x.Name == index && s.ID == id {
+				return s, true
+			}
+		}
+	}
+	return modeler.Snapshot{}, false
+}
--- /dev/null
+++ b/gatherer/constants.go
@@ -0,0 +1,8 @@
+package gatherer
+
+// Bounds of one query.
+const (
+	MaxTries     = 4
+	CanaryProbes = 2
+	PoisonLosses = 2
+)
--- /dev/null
+++ b/gatherer/event.go
@@ -0,0 +1,106 @@
+package gatherer
+
+import "github.com/pistachiogap/pistachiogap/modeler"
+
+// Fault says how an attempt ended without an answer.
+type Fault uint8
+
+// The faults of an attempt.
+const (
+	FaultNone     Fault = iota
+	FaultNotSent        // the connection never opened
+	FaultShed           // the searcher refused before it ran anything
+	FaultDraining       // the searcher is leaving and ran nothing
+	FaultNotHeld        // the searcher does not hold the snapshot
+	FaultLost           // the connection ended after the request may have arrived
+	FaultSilent         // no byte came back in time
+	FaultCorrupt        // the answer's check value or shape is wrong
+	FaultCrossed        // the answer belongs to another attempt
+	FaultRejected       // the searcher answered an error
+)
+
+var faultNames = [...]string{"none", "not-sent", "shed", "draining", "not-held", "lost", "silent", "corrupt", "crossed", "rejected"}
+
+// String returns the kebab-case name of the fault.
+func (f Fault) String() string { return faultNames[f] }
+
+// NotRun reports whether the fault proves that the attempt was not run.
+func (f Fault) NotRun() bool {
+	return f == FaultNotSent || f == FaultShed || f == FaultDraining || f == FaultNotHeld
+}
+
+// Claim is what a sub-answer says of itself.
+type Claim struct {
+	Request   modeler.RequestID
+	Attempt   int32
+	Shard     modeler.ShardName
+	Snapshot  modeler.SnapshotID
+	Documents uint64
+}
+
+// EventKind tells the events of a query apart.
+type EventKind uint8
+
+// The events that a query handles.
+const (
+	EventStart EventKind = iota
+	EventAnswer
+	EventFault
+	EventTick
+	EventVerdict
+	EventGone
+)
+
+// Event is one thing that happened to a query.
+type Event struct {
+	Kind    EventKind
+	Attempt int32
+	Fault   Fault
+	Claim   Claim
+	Poison  bool
+}
+
+// Purpose says why an attempt is sent.
+type Purpose uint8
+
+// The purposes of an attempt.
+const (
+	Primary Purpose = iota
+	Hedge
+	Retry
+	Probe
+)
+
+var purposeNames = [...]string{"primary", "hedge", "retry", "probe"}
+
+// String returns the kebab-case name of the purpose.
+func (p Purpose) String() string { return purposeNames[p] }
+
+// ActionKind tells the actions of a query apart.
+type ActionKind uint8
+
+// The actions that a query asks for.
+const (
+	ActionSend ActionKind = iota
+	ActionCancel
+	ActionMerge
+	ActionDrop
+	ActionCheck
+	ActionQuarantine
+	ActionRestart
+	ActionFinish
+)
+
+var actionNames = [...]string{"send", "cancel", "merge", "drop", "check", "quarantine", "restart", "finish"}
+
+// String returns the kebab-case name of the action.
+func (k ActionKind) String() string { return actionNames[k] }
+
+// Action is one thing that the owner of a query has to do.
+type Action struct {
+	Kind     ActionKind
+	Purpose  Purpose
+	Attempt  int32
+	Shard    int32
+	Searcher int32
+}
--- /dev/null
+++ b/generator/doc.go
@@ -0,0 +1,2 @@
+// Package generator turns a team's questionnaire into its configuration, and explains each value by the answer that it came from.
+package generator
--- /dev/null
+++ b/limiter/constants.go
@@ -0,0 +1,17 @@
+package limiter
+
+import "time"
+
+// Bounds of the budgets.
+const (
+	MinBurst           = 100
+	ConnectionHeadroom = 0.9
+	MinConcurrency     = 4
+	InitialConcurrency = 64
+	MaxConcurrency     = 4096
+	UrgentHeadroom     = 1.25
+	DecreaseFactor     = 0.85
+	AdjustInterval     = 100 * time.Millisecond
+	ShedTolerance      = 0.02
+	MinSamples         = 10
+)
--- /dev/null
+++ b/limiter/doc.go
@@ -0,0 +1,2 @@
+// Package limiter holds the budgets of the tier: hedges, retries, connections and admission per team.
+package limiter
--- /dev/null
+++ b/messenger/doc.go
@@ -0,0 +1,2 @@
+// Package messenger holds the generated messages and calls between the VMs of the tier.
+package messenger
--- /dev/null
+++ b/observer/quarantine.go
@@ -0,0 +1,134 @@
+package observer
+
+import (
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
+
+// Fingerprint identifies the content of a request, whoever sends it.
+type Fingerprint uint64
+
+// FingerprintOf returns the fingerprint of a query on an index.
+func FingerprintOf(index modeler.IndexName, body []byte) Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(index))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
+
+// At returns the identity of the request on one snapshot.
+func (f Fingerprint) At(id modeler.SnapshotID) Fingerprint {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(f))
+	binary.LittleEndian.PutUint64(b[8:], uint64(id))
+	return Fingerprint(xxhash.Sum64(b[:]))
+}
+
+// Quarantine remembers the requests that crash searchers, and those that were answered lately.
+type Quarantine struct {
+	mu      sync.Mutex
+	until   map[Fingerprint]time.Time
+	suspect map[Fingerprint]time.Time
+	good    map[Fingerprint]time.Time
+}
+
+// NewQuarantine makes an empty quarantine.
+func NewQuarantine() *Quarantine {
+	return &Quarantine{
+		until:   map[Fingerprint]time.Time{},
+		suspect: map[Fingerprint]time.Time{},
+		good:    map[Fingerprint]time.Time{},
+	}
+}
+
+// Add quarantines a request until the time and reports whether that was news.
+func (q *Quarantine) Add(f Fingerprint, now, until time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !until.After(now) || !until.After(q.until[f]) {
+		return false
+	}
+	if len(q.until) >= MaxQuarantined {
+		evict(q.until, now)
+	}
+	fresh := !now.Before(q.until[f])
+	q.until[f] = until
+	delete(q.good, f)
+	return fresh
+}
+
+// Holds reports whether a request is quarantined.
+func (q *Quarantine) Holds(f Fingerprint, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now.Before(q.until[f])
+}
+
+// Suspect records that a request ended by a single connection loss without any answer, and reports whether it had done so before.
+func (q *Quarantine) Suspect(f Fingerprint, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	again := now.Before(q.suspect[f])
+	if len(q.suspect) >= MaxQuarantined {
+		evict(q.suspect, now)
+	}
+	q.suspect[f] = now.Add(QuarantinePeriod)
+	return again
+}
+
+// Good records that a searcher answered the request.
+func (q *Quarantine) Good(f Fingerprint, now time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.good) >= MaxKnownGood {
+		evict(q.good, now)
+	}
+	q.good[f] = now.Add(KnownGoodPeriod)
+	delete(q.suspect, f)
+}
+
+// KnownGood reports whether a searcher answered the same request lately.
+func (q *Quarantine) KnownGood(f Fingerprint, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return now.Before(q.good[f])
+}
+
+// List returns the quarantined requests and when each is let go.
+func (q *Quarantine) List(now time.Time) map[Fingerprint]time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	m := map[Fingerprint]time.Time{}
+	for f, t := range q.until {
+		if now.Before(t) {
+			m[f] = t
+		}
+	}
+	return m
+}
+
+// evict drops what has run out, or else the entry that runs out first.
+func evict(m map[Fingerprint]time.Time, now time.Time) {
+	var oldest Fingerprint
+	var at time.Time
+	n := len(m)
+	for f, t := range m {
+		if !now.Before(t) {
+			delete(m, f)
+			continue
+		}
+		if at.IsZero() || t.Before(at) {
+			oldest, at = f, t
+		}
+	}
+	if len(m) == n {
+		delete(m, oldest)
+	}
+}
--- /dev/null
+++ b/observer/service.go
@@ -0,0 +1,53 @@
+package observer
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Service is the recent latency of the answers of one service.
+type Service struct {
+	mu       sync.Mutex
+	latency  *hdrhistogram.WindowedHistogram
+	samples  int
+	quantile float64
+	delay    time.Duration
+	computed time.Time
+}
+
+// NewService makes a service without samples.
+func NewService() *Service {
+	return &Service{
+		latency: hdrhistogram.NewWindowed(LatencyWindows, 1, int64(MaxLatency/time.Microsecond), 1),
+		delay:   InitialHedge,
+	}
+}
+
+// Record adds the latency of one answer.
+func (s *Service) Record(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_ = s.latency.Current.RecordValue(min(int64(latency/time.Microsecond), int64(MaxLatency/time.Microsecond)))
+	s.samples++
+	if s.samples%WindowSamples == 0 {
+		s.latency.Rotate()
+	}
+}
+
+// HedgeDelay returns the quantile of the recent latency, at least MinHedgeDelay.
+func (s *Service) HedgeDelay(now time.Time, quantile float64) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.samples < MinHedgeSamples {
+		return s.delay
+	}
+	if now.Sub(s.computed) < HedgeRefresh && s.quantile == quantile {
+		return s.delay
+	}
+	v := s.latency.Merge().ValueAtQuantile(quantile * 100)
+	s.delay = max(MinHedgeDelay, time.Duration(v)*time.Microsecond)
+	s.computed, s.quantile = now, quantile
+	return s.delay
+}
--- /dev/null
+++ b/planner/view.go
@@ -0,0 +1,205 @@
+package planner
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
+)
+
+// Searcher is one searcher of the view.
+type Searcher struct {
+	modeler.Searcher
+	Service int32
+	Domain  int32
+	Link    time.Duration
+	Belief  *observer.Searcher
+}
+
+// Service is one service of the view.
+type Service struct {
+	modeler.Service
+	Searchers []int32
+	Belief    *observer.Service
+}
+
+// Shard is one shard of a snapshot with its service, or a negative service when none is configured.
+type Shard struct {
+	Name      modeler.ShardName
+	Service   int32
+	Documents uint64
+}
+
+// Snapshot is one snapshot of the view.
+type Snapshot struct {
+	ID     modeler.SnapshotID
+	Shards []Shard
+}
+
+// Index is one index of the view.
+type Index struct {
+	Name      modeler.IndexName
+	Team      modeler.TeamName
+	Urgent    bool
+	Policy    modeler.Policy
+	Snapshots []Snapshot
+	pinned    atomic.Pointer[pin]
+}
+
+// View is the configuration in force in the form that planning uses.
+type View struct {
+	Revision  modeler.Revision
+	Teams     []modeler.Team
+	Services  []Service
+	Searchers []Searcher
+	domain    modeler.FailureDomain
+	indexes   map[modeler.IndexName]*Index
+	services  map[modeler.ServiceName]int32
+	addresses map[netip.AddrPort]int32
+}
+
+// NewView joins the values of all keys into one view as seen from a failure domain.
+func NewView(rev modeler.Revision, domain modeler.FailureDomain, links []modeler.Link, values []modeler.Configuration, o *observer.Observer) *View {
+	v := &View{
+		Revision: rev,
+		domain:   domain,
+		indexes:  map[modeler.IndexName]*Index{},
+		services: map[modeler.ServiceName]int32{},
+
+		addresses: map[netip.AddrPort]int32{},
+	}
+	domains := map[modeler.FailureDomain]int32{}
+	delays := delaysFrom(domain, links)
+	for _, c := range values {
+		v.Teams = append(v.Teams, c.Teams...)
+		for _, s := range c.Services {
+			v.addService(s, domains, delays, o)
+		}
+	}
+	urgent := urgentIndexes(v.Teams)
+	for _, c := range values {
+		for _, x := range c.Indexes {
+			v.addIndex(x, urgent[x.Name])
+		}
+	}
+	v.forgetOthers(o)
+	return v
+}
+
+// Index returns an index of the view.
+func (v *View) Index(n modeler.IndexName) (*Index, bool) {
+	x, ok := v.indexes[n]
+	return x, ok
+}
+
+// Indexes returns all indexes of the view.
+func (v *View) Indexes() map[modeler.IndexName]*Index { return v.indexes }
+
+// Service returns the position of a service of the view.
+func (v *View) Service(n modeler.ServiceName) (int32, bool) {
+	i, ok := v.services[n]
+	return i, ok
+}
+
+// At returns the searcher at an address.
+func (v *View) At(a netip.AddrPort) (*Searcher, bool) {
+	i, ok := v.addresses[a]
+	if !ok {
+		return nil, false
+	}
+	return &v.Searchers[i], true
+}
+
+func (v *View) addService(s modeler.Service, domains map[modeler.FailureDomain]int32, delays map[modeler.FailureDomain]time.Duration, o *observer.Observer) {
+	if _, ok := v.services[s.Name]; ok {
+		return
+	}
+	n := int32(len(v.Services))
+	v.services[s.Name] = n
+	out := Service{Service: s, Belief: o.Service(s.Name)}
+	for _, r := range s.Searchers {
+		d, ok := domains[r.FailureDomain]
+		if !ok {
+			d = int32(len(domains))
+			domains[r.FailureDomain] = d
+		}
+		v.addresses[r.Address] = int32(len(v.Searchers))
+		out.Searchers = append(out.Searchers, int32(len(v.Searchers)))
+		v.Searchers = append(v.Searchers, Searcher{r, n, d, 2 * delays[r.FailureDomain], o.Searcher(r.Address)})
+	}
+	v.Services = append(v.Services, out)
+}
+
+func (v *View) addIndex(x modeler.Index, urgent bool) {
+	out := &Index{Name: x.Name, Team: x.Team, Urgent: urgent, Policy: x.Policy}
+	for _, s := range x.Snapshots {
+		snapshot := Snapshot{ID: s.ID, Shards: make([]Shard, len(s.Shards))}
+		for i, h := range s.Shards {
+			service, ok := v.services[h.Service]
+			if !ok {
+				service = -1
+			}
+			snapshot.Shards[i] = Shard{h.Name, service, h.Documents}
+		}
+		out.Snapshots = append(out.Snapshots, snapshot)
+	}
+	v.indexes[x.Name] = out
+}
+
+func (v *View) forgetOthers(o *observer.Observer) {
+	searchers := make(map[netip.AddrPort]bool, len(v.Searchers))
+	for i := range v.Searchers {
+		searchers[v.Searchers[i].Address] = true
+	}
+	services := make(map[modeler.ServiceName]bool, len(v.Services))
+	for n := range v.services {
+		services[n] = true
+	}
+	o.Keep(searchers, services)
+}
+
+func delaysFrom(domain modeler.FailureDomain, links []modeler.Link) map[modeler.FailureDomain]time.Duration {
+	m := map[modeler.FailureDomain]time.Duration{}
+	for _, l := range links {
+		if l.From == domain {
+			m[l.To] = l.Delay.Duration
+		}
+		if l.To == domain {
+			m[l.From] = l.Delay.Duration
+		}
+	}
+	return m
+}
+
+func urgentIndexes(teams []modeler.Team) map[modeler.IndexName]bool {
+	m := map[modeler.IndexName]bool{}
+	for _, t := range teams {
+		for _, x := range t.Urgent {
+			m[x] = true
+		}
+	}
+	return m
+}
+
+// Find returns the snapshot with the id.
+func (x *Index) Find(id modeler.SnapshotID) (*Snapshot, bool) {
+	for i := range x.Snapshots {
+		if x.Snapshots[i].ID == id {
+			return &x.Snapshots[i], true
+		}
+	}
+	return nil, false
+}
+
+// Part returns the snapshot reduced to the named shards, and whether it has them all in that order.
+func (s *Snapshot) Part(names []string) (*Snapshot, bool) {
+	out := &Snapshot{ID: s.ID, Shards: make([]Shard, 0, len(names))}
+	for _, h := range s.Shards {
+		if len(out.Shards) < len(names) && names[len(out.Shards)] == string(h.Name) {
+			out.Shards = append(out.Shards, h)
+		}
+	}
+	return out, len(out.Shards) == len(names)
+}
--- /dev/null
+++ b/refuser/refusal.go
@@ -0,0 +1,30 @@
+package refuser
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
+
+// Refusal is an error of a known kind.
+type Refusal struct {
+	Kind   Kind
+	Detail string
+}
+
+// New makes a refusal of the kind with a formatted detail.
+func New(k Kind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: k, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Error returns the kind and the detail.
+func (r *Refusal) Error() string { return string(r.Kind) + ": " + r.Detail }
+
+// From returns the refusal within err; an error without one becomes Internal.
+func From(err error) *Refusal {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return New(Internal, "%v", err)
+}
--- /dev/null
+++ b/relayer/service.go
@@ -0,0 +1,117 @@
+package relayer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/configurer"
+	"github.com/pistachiogap/pistachiogap/gossiper"
+	"github.com/pistachiogap/pistachiogap/messenger"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/orderer"
+	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/refuser"
+	"github.com/pistachiogap/pistachiogap/scatterer"
+	"github.com/pistachiogap/pistachiogap/ticketer"
+)
+
+// Service answers the calls of other VMs.
+type Service struct {
+	Store     *configurer.Store
+	Gossip    *gossiper.Gossip
+	Home      *ticketer.Home
+	Orderer   *orderer.Orderer
+	Scatterer *scatterer.Scatterer
+	View      func() *planner.View
+	Self      ticketer.Incarnation
+}
+
+// Search runs the sub-queries of one query for another VM.
+func (s *Service) Search(ctx context.Context, r *messenger.SearchRequest) (*messenger.SearchResult, error) {
+	req, ok := s.request(r)
+	if !ok {
+		return &messenger.SearchResult{RequestId: r.GetRequestId(), Refused: true}, nil
+	}
+	return resultToWire(r.GetRequestId(), s.Scatterer.Run(ctx, req)), nil
+}
+
+// request returns the part of the snapshot that the call names, if this VM's configuration has all of it.
+func (s *Service) request(r *messenger.SearchRequest) (scatterer.Request, bool) {
+	v := s.View()
+	if v == nil {
+		return scatterer.Request{}, false
+	}
+	x, ok := v.Index(modeler.IndexName(r.GetIndex()))
+	if !ok {
+		return scatterer.Request{}, false
+	}
+	whole, ok := x.Find(modeler.SnapshotID(r.GetSnapshot()))
+	if !ok {
+		return scatterer.Request{}, false
+	}
+	part, ok := whole.Part(r.GetShards())
+	return scatterer.Request{
+		ID: modeler.RequestID(r.GetRequestId()), View: v, Index: x, Snapshot: part, Body: r.GetQuery(), Limit: int(r.GetLimit()),
+		Deadline: time.Now().Add(time.Duration(r.GetDeadlineMicros()) * time.Microsecond),
+	}, ok
+}
+
+// Order runs an order whose ticket this VM answers for.
+func (s *Service) Order(ctx context.Context, r *messenger.OrderRequest) (*messenger.OrderResult, error) {
+	out := s.Orderer.Local(ctx, orderer.Submission{
+		Service: modeler.ServiceName(r.GetService()), Ticket: r.GetTicket(), Body: r.GetBody(),
+		Deadline: time.Now().Add(time.Duration(r.GetDeadlineMicros()) * time.Microsecond),
+	})
+	return &messenger.OrderResult{Kind: string(out.Kind), Detail: out.Detail, Result: out.Result}, nil
+}
+
+// Pull returns the configuration values later than a revision.
+func (s *Service) Pull(_ context.Context, r *messenger.PullRequest) (*messenger.PullResult, error) {
+	head, values := s.Store.Delta(modeler.Revision(r.GetSince()))
+	out := &messenger.PullResult{Head: uint64(head)}
+	for _, v := range values {
+		out.Values = append(out.Values, &messenger.Value{Key: v.Key, Revision: uint64(v.Revision), Text: v.Text})
+	}
+	return out, nil
+}
+
+// Sync exchanges the members in which two VMs differ.
+func (s *Service) Sync(_ context.Context, r *messenger.SyncRequest) (*messenger.SyncResult, error) {
+	s.Gossip.MergeMembers(membersFromWire(r.GetMembers()))
+	out := &messenger.SyncResult{}
+	s.Gossip.Look(func(n *gossiper.Node) {
+		for _, m := range n.Differing(r.GetDigests()) {
+			out.Members = append(out.Members, m.ToWire())
+		}
+		out.Heirs = gossiper.HeirsToWire(n.Heirs())
+		out.News = gossiper.NewsToWire(n.NewsList())
+	})
+	return out, nil
+}
+
+// Adopt takes over the tickets of a VM that leaves.
+func (s *Service) Adopt(_ context.Context, r *messenger.AdoptRequest) (*messenger.AdoptResult, error) {
+	h, err := handoverFromWire(r)
+	if err != nil {
+		return nil, err
+	}
+	if !s.Home.Adopt(h) {
+		return &messenger.AdoptResult{}, nil
+	}
+	return &messenger.AdoptResult{Heir: uint64(s.Self)}, nil
+}
+
+func membersFromWire(ws []*messenger.Member) []gossiper.Member {
+	var out []gossiper.Member
+	for _, w := range ws {
+		if m, err := gossiper.MemberFromWire(w); err == nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Outcome returns what another VM said of an order.
+func Outcome(r *messenger.OrderResult) ticketer.Outcome {
+	return ticketer.Outcome{Kind: refuser.Kind(r.GetKind()), Detail: r.GetDetail(), Result: r.GetResult()}
+}
--- /dev/null
+++ b/runner/settings.go
@@ -0,0 +1,132 @@
+package runner
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
+
+// Listen holds the addresses of a VM's ports; the peers' port serves TCP and UDP.
+type Listen struct {
+	Callers   netip.AddrPort `json:"callers"`
+	Operators netip.AddrPort `json:"operators"`
+	Peers     netip.AddrPort `json:"peers"`
+}
+
+// Timeline bounds what a VM keeps of its time line.
+type Timeline struct {
+	Events int     `json:"events"`
+	Sample float64 `json:"sample"`
+}
+
+// Settings are what one VM is told at its start.
+type Settings struct {
+	Name          modeler.VMName        `json:"name"`
+	FailureDomain modeler.FailureDomain `json:"failure-domain"`
+	Listen        Listen                `json:"listen"`
+	Advertise     netip.AddrPort        `json:"advertise-peers"`
+	Platform      netip.AddrPort        `json:"platform"`
+	Peers         []netip.AddrPort      `json:"peers"`
+	Keys          []string              `json:"keys"`
+	Token         string                `json:"operators-token"`
+	Links         []modeler.Link        `json:"links"`
+	RelayWidth    int                   `json:"relay-width"`
+	Relay         *bool                 `json:"relay"`
+	Grace         modeler.Duration      `json:"grace"`
+	DrainDelay    modeler.Duration      `json:"drain-delay"`
+	ReturnMargin  modeler.Duration      `json:"return-margin"`
+	ListPeriod    modeler.Duration      `json:"list-period"`
+	Timeline      Timeline              `json:"timeline"`
+}
+
+// Bounds and defaults of the settings.
+const (
+	MinKeyBytes         = 16
+	MaxRelayWidth       = 16
+	MaxTimelineEvents   = 1 << 20
+	MaxGrace            = 5 * time.Minute
+	DefaultGrace        = 10 * time.Second
+	DefaultDrainDelay   = 2 * time.Second
+	DefaultReturnMargin = time.Millisecond
+	DefaultListPeriod   = 5 * time.Second
+	DefaultEvents       = 1 << 14
+)
+
+// Check fills in the defaults and returns the faults of the settings.
+func (s *Settings) Check() modeler.Problems {
+	var p modeler.Problems
+	s.fill()
+	p.Name(string(s.Name), "name")
+	p.Name(string(s.FailureDomain), "failure-domain")
+	s.checkAddresses(&p)
+	if len(s.Keys) == 0 {
+		p.Add("must hold at least one key", "keys")
+	}
+	for i, k := range s.Keys {
+		if len(k) < MinKeyBytes {
+			p.Add("must have at least 16 bytes", "keys", i)
+		}
+	}
+	if s.RelayWidth < 0 || s.RelayWidth > MaxRelayWidth {
+		p.Add("must be from 0 to 16", "relay-width")
+	}
+	if s.Grace.Duration > MaxGrace {
+		p.Add("must be at most 5m", "grace")
+	}
+	if s.Timeline.Events < 1 || s.Timeline.Events > MaxTimelineEvents {
+		p.Add("must be from 1 to 1048576", "timeline", "events")
+	}
+	if s.Timeline.Sample < 0 || s.Timeline.Sample > 1 {
+		p.Add("must be from 0 to 1", "timeline", "sample")
+	}
+	return p
+}
+
+func (s *Settings) checkAddresses(p *modeler.Problems) {
+	for name, a := range map[string]netip.AddrPort{"callers": s.Listen.Callers, "operators": s.Listen.Operators, "peers": s.Listen.Peers} {
+		if !a.IsValid() || a.Port() == 0 {
+			p.Add("must be an address with a port", "listen", name)
+		}
+	}
+	if !s.Platform.IsValid() || s.Platform.Port() == 0 {
+		p.Add("must be an address with a port", "platform")
+	}
+	if s.Listen.Callers == s.Listen.Operators || s.Listen.Callers == s.Listen.Peers || s.Listen.Operators == s.Listen.Peers {
+		p.Add("the three ports must differ", "listen")
+	}
+	for i, a := range s.Peers {
+		if !a.IsValid() {
+			p.Add("must be an address with a port", "peers", i)
+		}
+	}
+}
+
+func (s *Settings) fill() {
+	setDefault(&s.Grace, DefaultGrace)
+	setDefault(&s.DrainDelay, DefaultDrainDelay)
+	setDefault(&s.ReturnMargin, DefaultReturnMargin)
+	setDefault(&s.ListPeriod, DefaultListPeriod)
+	if s.Timeline == (Timeline{}) {
+		s.Timeline = Timeline{Events: DefaultEvents, Sample: 1}
+	}
+	if !s.Advertise.IsValid() {
+		s.Advertise = s.Listen.Peers
+	}
+}
+
+func setDefault(d *modeler.Duration, v time.Duration) {
+	if d.Duration == 0 {
+		d.Duration = v
+	}
+}
+
+func (s *Settings) isRelay() bool { return s.Relay == nil || *s.Relay }
+
+func (s *Settings) keyBytes() [][]byte {
+	out := make([][]byte, len(s.Keys))
+	for i, k := range s.Keys {
+		out[i] = []byte(k)
+	}
+	return out
+}
--- /dev/null
+++ b/runner/upkeep.go
@@ -0,0 +1,120 @@
+package runner
+
+import (
+	"context"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/recorder"
+	"github.com/pistachiogap/pistachiogap/spawner"
+)
+
+// Bounds of the regular work of a VM.
+const (
+	UpkeepPeriod  = time.Second
+	PingTimeout   = 400 * time.Millisecond
+	PingsAtOnce   = 32
+	TicketsPeriod = 60
+)
+
+// upkeep pings the searchers that this VM may call, trims connections and forgets old tickets, once a period.
+func (v *VM) upkeep(ctx context.Context) error {
+	ticker := time.NewTicker(UpkeepPeriod)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		v.pingAll(ctx)
+		if round%TicketsPeriod == 0 {
+			v.home.Sweep(time.Now())
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (v *VM) pingAll(ctx context.Context) {
+	view := v.view.Load()
+	if view == nil {
+		return
+	}
+	keep := map[netip.AddrPort]bool{}
+	var ends []<-chan error
+	for i := range view.Searchers {
+		s := &view.Searchers[i]
+		if v.connectionBudget(s.Address) == 0 {
+			continue
+		}
+		keep[s.Address] = true
+		ends = append(ends, spawner.Go(ctx, func(ctx context.Context) error {
+			v.ping(ctx, s)
+			return nil
+		}))
+		if len(ends) == PingsAtOnce {
+			_ = spawner.Wait(ends...)
+			ends = ends[:0]
+		}
+	}
+	_ = spawner.Wait(ends...)
+	v.dialer.Trim(keep)
+}
+
+// ping learns from the load endpoint; what the searcher says in band outweighs it.
+func (v *VM) ping(ctx context.Context, s *planner.Searcher) {
+	load, err := v.dialer.Ping(ctx, s.Address, PingTimeout)
+	if ctx.Err() != nil {
+		return
+	}
+	now := time.Now()
+	if err != nil {
+		s.Belief.Begin()
+		s.Belief.Failed(now)
+		return
+	}
+	for index, ids := range load.Held {
+		s.Belief.Holds(index, ids)
+	}
+	if load.Draining && s.Belief.Drain(now) {
+		v.tellDraining(s.Address, "load endpoint")
+	}
+}
+
+// listed takes in the platform's lagging list.
+func (v *VM) listed(l modeler.Listing) {
+	v.listing.Store(&l)
+	now := time.Now()
+	for _, a := range l.Leaving {
+		if v.observer.Searcher(a).Drain(now) {
+			v.tellDraining(a, "platform list")
+		}
+	}
+}
+
+// connectionBudget returns how many connections this VM may hold to the searcher at the address.
+func (v *VM) connectionBudget(a netip.AddrPort) int {
+	view := v.view.Load()
+	if view == nil {
+		return 1
+	}
+	s, ok := view.At(a)
+	if !ok {
+		return 0
+	}
+	contract := view.Services[s.Service].Contract
+	holders := v.spread.Holders(view.Services[s.Service].Name, v.fleet())
+	if holders == 0 {
+		return 0
+	}
+	return limiter.Connections(contract.Connections, holders)
+}
+
+func (v *VM) retired(a netip.AddrPort, detail string) {
+	v.recorder.Record(recorder.Event{Kind: recorder.ConnectionRetired, Detail: a.String() + ": " + detail})
+}
+
+func revisionText(r modeler.Revision) string { return "revision " + strconv.FormatUint(uint64(r), 10) }
--- /dev/null
+++ b/scatterer/result.go
@@ -0,0 +1,73 @@
+package scatterer
+
+import (
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/recorder"
+)
+
+func (r *run) result() Result {
+	now := r.s.now()
+	res := Result{
+		Snapshot: r.req.Snapshot.ID,
+		Hits:     dialer.MergeHits(nil, r.hits, min(r.req.Limit, MaxHits)),
+		Shards:   len(r.req.Snapshot.Shards),
+		Answered: r.query.Answered(),
+		Shed:     int(r.shed.Load()),
+		Lost:     len(r.query.Lost()),
+		Crashed:  r.crashed,
+		NotHeld:  r.notHeld,
+	}
+	res.Documents, res.Total = r.query.Documents()
+	res.Sent, res.Primaries = r.query.Attempts()
+	if res.Answered < res.Shards {
+		res.Missing = r.query.Missing()
+	}
+	if res.Answered > 0 {
+		r.s.Quarantine.Good(r.print.At(r.req.Snapshot.ID), now)
+	}
+	if res.Answered == 0 && res.Lost == 1 && r.s.Quarantine.Suspect(r.print, now) {
+		r.quarantine()
+		res.Crashed = true
+	}
+	if r.sampled || res.Answered < res.Shards || res.Sent > res.Primaries {
+		r.s.Recorder.Keep(r.notes)
+	}
+	return res
+}
+
+func (r *run) note(kind recorder.EventKind, a gatherer.Action) {
+	e := recorder.Event{Kind: kind, Request: r.req.ID, Attempt: a.Attempt}
+	if kind != recorder.AnswerDropped || int(a.Attempt) < len(r.cancels) {
+		e.Purpose = a.Purpose.String()
+		e.Shard = r.shardName(a.Shard)
+		e.Searcher = r.req.View.Searchers[a.Searcher].Name
+	}
+	r.notes = append(r.notes, r.s.Recorder.Stamp(e))
+}
+
+func (r *run) shardName(i int32) modeler.ShardName { return r.req.Snapshot.Shards[i].Name }
+
+func (r *run) noteFault(e *end) {
+	r.notes = append(r.notes, r.s.Recorder.Stamp(recorder.Event{
+		Kind: recorder.AttemptFailed, Request: r.req.ID, Attempt: e.event.Attempt, Fault: e.event.Fault.String(),
+	}))
+}
+
+func (r *run) notePlan(plan gatherer.Plan) {
+	now := r.s.now()
+	note := &recorder.PlanNote{
+		Index:         r.req.Index.Name,
+		Snapshot:      plan.Snapshot,
+		Deadline:      modeler.Duration{Duration: plan.Deadline.Sub(now)},
+		Patience:      modeler.Duration{Duration: plan.Patience.Sub(now)},
+		LeastCoverage: plan.LeastCoverage,
+		KnownGood:     plan.KnownGood,
+		Shards:        make([]recorder.ShardNote, len(plan.Shards)),
+	}
+	for i, s := range plan.Shards {
+		note.Shards[i] = recorder.ShardNote{Name: s.Name, Documents: s.Documents, Hedge: modeler.Duration{Duration: r.hedgeAfter(int32(i))}}
+	}
+	r.notes = append(r.notes, r.s.Recorder.Stamp(recorder.Event{Kind: recorder.QueryPinned, Request: r.req.ID, Plan: note}))
+}
--- /dev/null
+++ b/scatterer/run.go
@@ -0,0 +1,276 @@
+package scatterer
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
+	"github.com/pistachiogap/pistachiogap/parser"
+	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/recorder"
+)
+
+// end is what the goroutine of one attempt reports.
+type end struct {
+	event gatherer.Event
+	reply dialer.Reply
+	hits  []dialer.Hit
+}
+
+// run is one query under way.
+type run struct {
+	s       *Scatterer
+	req     Request
+	picker  planner.Picker
+	print   observer.Fingerprint
+	query   *gatherer.Query
+	ends    chan end
+	hedges  *limiter.Budget
+	retries *limiter.Budget
+	cancels []context.CancelFunc
+	reached map[int32]bool
+	hits    []dialer.Hit
+	notes   []recorder.Event
+	sampled bool
+	shed    atomic.Int64
+	crashed bool
+	notHeld bool
+}
+
+func newRun(s *Scatterer, req Request) *run {
+	r := &run{
+		s: s, req: req,
+		picker:  planner.Picker{View: req.View, Index: req.Index.Name, Snapshot: req.Snapshot, Random: s.random},
+		print:   observer.FingerprintOf(req.Index.Name, req.Body),
+		ends:    make(chan end, len(req.Snapshot.Shards)+eventSlack),
+		reached: make(map[int32]bool, len(req.Snapshot.Shards)),
+		sampled: s.Recorder.Sampled(req.ID),
+	}
+	policy := req.Index.Policy
+	r.hedges, r.retries = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, 2*len(req.Snapshot.Shards))
+	plan := r.plan()
+	r.query = gatherer.NewQuery(plan, gatherer.Seams{
+		Pick:       r.picker.Pick,
+		Spend:      r.spend,
+		HedgeAfter: r.hedgeAfter,
+		Hold:       s.hold,
+		Matches:    s.matches,
+	})
+	r.notePlan(plan)
+	return r
+}
+
+func (r *run) plan() gatherer.Plan {
+	policy := r.req.Index.Policy
+	now := r.s.now()
+	plan := gatherer.Plan{
+		Request:       r.req.ID,
+		Snapshot:      r.req.Snapshot.ID,
+		Shards:        make([]gatherer.Shard, len(r.req.Snapshot.Shards)),
+		Deadline:      r.req.Deadline,
+		Patience:      r.req.Deadline,
+		LeastCoverage: policy.LeastCoverage,
+		KnownGood:     r.s.Quarantine.KnownGood(r.print.At(r.req.Snapshot.ID), now),
+	}
+	if policy.Patience.Duration > 0 {
+		plan.Patience = now.Add(policy.Patience.Duration)
+	}
+	for i, h := range r.req.Snapshot.Shards {
+		plan.Shards[i] = gatherer.Shard{Name: h.Name, Documents: h.Documents}
+	}
+	return plan
+}
+
+func (r *run) spend(_ time.Time, p gatherer.Purpose) bool {
+	if p == gatherer.Hedge {
+		return r.s.hedging && r.hedges.Spend()
+	}
+	return !r.s.onRetries || r.retries.Spend()
+}
+
+func (r *run) hedgeAfter(shard int32) time.Duration {
+	n := r.req.Snapshot.Shards[shard].Service
+	if n < 0 {
+		return observer.InitialHedge
+	}
+	return r.req.View.Services[n].Belief.HedgeDelay(r.s.now(), r.req.Index.Policy.HedgeQuantile)
+}
+
+// loop runs the query until it is done.
+func (r *run) loop(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	Drive(ctx, r.query, r.s.now, r.ends, r.event, r.act)
+}
+
+func (r *run) event(e *end) *gatherer.Event {
+	if e.event.Kind == gatherer.EventFault {
+		r.noteFault(e)
+	}
+	return &e.event
+}
+
+func (r *run) act(ctx context.Context, a gatherer.Action, e *end) {
+	switch a.Kind {
+	case gatherer.ActionSend:
+		if a.Purpose == gatherer.Primary {
+			r.hedges.Earn(1)
+			r.retries.Earn(1)
+		}
+		r.send(ctx, a)
+	case gatherer.ActionCancel:
+		r.cancels[a.Attempt]()
+		r.note(recorder.AttemptCancelled, a)
+	case gatherer.ActionMerge:
+		r.hits = append(r.hits, e.hits...)
+		r.note(recorder.AttemptAnswered, a)
+	case gatherer.ActionDrop:
+		r.note(recorder.AnswerDropped, a)
+	case gatherer.ActionCheck:
+		r.check(ctx)
+	case gatherer.ActionQuarantine:
+		r.quarantine()
+	case gatherer.ActionRestart:
+		r.notHeld = true
+	}
+}
+
+func (r *run) send(ctx context.Context, a gatherer.Action) {
+	ctx, cancel := context.WithCancel(ctx)
+	r.cancels = append(r.cancels, cancel)
+	r.reached[a.Searcher] = true
+	r.note(recorder.AttemptSent, a)
+	call := dialer.Call{
+		Address:  r.req.View.Searchers[a.Searcher].Address,
+		Path:     "/v1/search",
+		Request:  r.req.ID,
+		Attempt:  string(r.req.ID) + "." + strconv.Itoa(int(a.Attempt)),
+		Index:    r.req.Index.Name,
+		Shard:    r.req.Snapshot.Shards[a.Shard].Name,
+		Snapshot: r.req.Snapshot.ID,
+		Deadline: r.req.Deadline.Add(-r.req.View.Searchers[a.Searcher].Link / 2),
+		Body:     r.req.Body,
+		Proven:   a.Purpose != gatherer.Primary,
+	}
+	go r.attempt(ctx, cancel, a, call)
+}
+
+// attempt runs one sub-query and reports its end on the run's channel.
+func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, a gatherer.Action, call dialer.Call) {
+	defer cancel()
+	searcher := &r.req.View.Searchers[a.Searcher]
+	searcher.Belief.Begin()
+	start := r.s.now()
+	reply := r.s.Dialer.Do(ctx, call)
+	e := end{reply: reply, event: gatherer.Event{Kind: gatherer.EventFault, Attempt: a.Attempt, Fault: reply.Fault}}
+	if reply.Fault == gatherer.FaultNone {
+		e = r.decode(a, reply)
+	}
+	r.believe(ctx, searcher, &e, r.s.now().Sub(start))
+	if e.event.Fault == gatherer.FaultShed {
+		r.shed.Add(1)
+	}
+	select {
+	case r.ends <- e:
+	case <-ctx.Done():
+	}
+}
+
+func (r *run) decode(a gatherer.Action, reply dialer.Reply) end {
+	answer, err := parser.DecodeStrict[dialer.SearchAnswer](reply.Body)
+	if err != nil {
+		return end{reply: reply, event: gatherer.Event{Kind: gatherer.EventFault, Attempt: a.Attempt, Fault: gatherer.FaultCorrupt}}
+	}
+	claim := gatherer.Claim{
+		Request:   answer.Request,
+		Attempt:   attemptOf(r.req.ID, answer.Attempt),
+		Shard:     answer.Shard,
+		Snapshot:  answer.Snapshot,
+		Documents: answer.Documents,
+	}
+	return end{reply: reply, hits: answer.Hits, event: gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: claim}}
+}
+
+// attemptOf returns the attempt that an attempt id of the request names, or -1.
+func attemptOf(id modeler.RequestID, s string) int32 {
+	rest, ok := strings.CutPrefix(s, string(id)+".")
+	n, err := strconv.ParseInt(rest, 10, 32)
+	if !ok || err != nil {
+		return -1
+	}
+	return int32(n)
+}
+
+func (r *run) believe(ctx context.Context, searcher *planner.Searcher, e *end, took time.Duration) {
+	b := searcher.Belief
+	now := r.s.now()
+	if e.reply.Held != nil {
+		b.Holds(r.req.Index.Name, e.reply.Held)
+	}
+	if e.reply.Draining && b.Drain(now) {
+		r.s.draining(searcher)
+	}
+	switch {
+	case e.event.Kind == gatherer.EventAnswer:
+		b.Answered(took)
+		r.req.View.Services[searcher.Service].Belief.Record(took)
+		if !e.reply.Draining {
+			b.Returned(now)
+		}
+	case ctx.Err() != nil && e.event.Fault == gatherer.FaultNotSent:
+		r.s.starved.Add(1)
+		b.Ended()
+	case ctx.Err() != nil:
+		b.Cancelled(took)
+	case e.event.Fault == gatherer.FaultLost, e.event.Fault == gatherer.FaultNotSent && !e.reply.Late, e.event.Fault == gatherer.FaultSilent:
+		b.Failed(now)
+	default:
+		b.Ended()
+	}
+}
+
+// check asks bystanders whether the losses are the request's own doing.
+func (r *run) check(ctx context.Context) {
+	lost := append([]int32(nil), r.query.Lost()...)
+	reached := make(map[int32]bool, len(r.reached))
+	for k := range r.reached {
+		reached[k] = true
+	}
+	go func() {
+		poison := r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return reached[n] })
+		select {
+		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Poison: poison}}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// judgeLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
+func (r *run) judgeLate(ctx context.Context) {
+	lost := r.query.Lost()
+	if r.crashed || r.query.Answered() > 0 || len(lost) < gatherer.PoisonLosses {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), CheckTimeout)
+	defer cancel()
+	if r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return r.reached[n] }) {
+		r.quarantine()
+	}
+}
+
+func (r *run) quarantine() {
+	r.crashed = true
+	now := r.s.now()
+	until := now.Add(observer.QuarantinePeriod)
+	if r.s.Quarantine.Add(r.print, now, until) {
+		r.s.poisoned(r.print, until)
+	}
+	r.notes = append(r.notes, r.s.Recorder.Stamp(recorder.Event{Kind: recorder.RequestQuarantined, Request: r.req.ID}))
+}
--- /dev/null
+++ b/scatterer/scatterer.go
@@ -0,0 +1,161 @@
+package scatterer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
+	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/recorder"
+)
+
+// Scatterer runs sub-queries on searchers for one VM.
+type Scatterer struct {
+	Dialer     *dialer.Dialer
+	Observer   *observer.Observer
+	Quarantine *observer.Quarantine
+	Recorder   *recorder.Recorder
+	Budgets    *limiter.Budgets
+
+	starved   atomic.Int64
+	now       func() time.Time
+	random    func(n int) int
+	hold      func(cleared bool) bool
+	matches   func(want, got gatherer.Claim) bool
+	draining  func(*planner.Searcher)
+	poisoned  func(observer.Fingerprint, time.Time)
+	hedging   bool
+	onRetries bool
+}
+
+// Option changes a Scatterer under construction.
+type Option func(*Scatterer)
+
+// WithClock sets the source of the time.
+func WithClock(f func() time.Time) Option { return func(s *Scatterer) { s.now = f } }
+
+// WithRandom sets the source of random numbers below n.
+func WithRandom(f func(n int) int) Option { return func(s *Scatterer) { s.random = f } }
+
+// WithHold sets the rule that keeps a query with a lost connection from a second replica.
+func WithHold(f func(cleared bool) bool) Option { return func(s *Scatterer) { s.hold = f } }
+
+// WithMatch sets the rule by which a sub-answer is accepted.
+func WithMatch(f func(want, got gatherer.Claim) bool) Option {
+	return func(s *Scatterer) { s.matches = f }
+}
+
+// WithDraining sets what is told of a searcher found to be leaving.
+func WithDraining(f func(*planner.Searcher)) Option { return func(s *Scatterer) { s.draining = f } }
+
+// WithPoisoned sets what is told of a request that is quarantined until the time.
+func WithPoisoned(f func(observer.Fingerprint, time.Time)) Option {
+	return func(s *Scatterer) { s.poisoned = f }
+}
+
+// WithHedging switches hedges on or off.
+func WithHedging(on bool) Option { return func(s *Scatterer) { s.hedging = on } }
+
+// WithRetryBudget switches the bound on retries on or off.
+func WithRetryBudget(on bool) Option { return func(s *Scatterer) { s.onRetries = on } }
+
+// NewScatterer makes a scatterer over the shared state of one VM.
+func NewScatterer(d *dialer.Dialer, o *observer.Observer, q *observer.Quarantine, r *recorder.Recorder, options ...Option) *Scatterer {
+	s := &Scatterer{
+		Dialer: d, Observer: o, Quarantine: q, Recorder: r,
+		Budgets:   limiter.NewBudgets(),
+		now:       time.Now,
+		random:    rand.IntN,
+		hold:      gatherer.HoldUntilCleared,
+		matches:   gatherer.MatchesExactly,
+		draining:  func(*planner.Searcher) {},
+		poisoned:  func(observer.Fingerprint, time.Time) {},
+		hedging:   true,
+		onRetries: true,
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// Starved returns how many attempts ran out of time in line for a connection since it was last asked.
+func (s *Scatterer) Starved() int { return int(s.starved.Swap(0)) }
+
+// Request is one search, or the part of one that this VM runs.
+type Request struct {
+	ID       modeler.RequestID
+	View     *planner.View
+	Index    *planner.Index
+	Snapshot *planner.Snapshot
+	Body     []byte
+	Limit    int
+	Deadline time.Time
+}
+
+// Result is what a search came to.
+type Result struct {
+	Snapshot  modeler.SnapshotID
+	Hits      []dialer.Hit
+	Shards    int
+	Answered  int
+	Documents uint64
+	Total     uint64
+	Missing   []modeler.ShardName
+	Sent      int
+	Primaries int
+	Shed      int
+	Lost      int
+	Crashed   bool
+	NotHeld   bool
+	Refused   bool
+}
+
+// Run scatters the request over the shards of its snapshot and gathers the answers until its deadline.
+func (s *Scatterer) Run(ctx context.Context, req Request) Result {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	r := newRun(s, req)
+	r.loop(ctx)
+	r.judgeLate(ctx)
+	return r.result()
+}
+
+// Judge reports whether the losses of a request are its own doing: at least PoisonLosses of them happened in failure domains in which searchers that it never reached are alive.
+func (s *Scatterer) Judge(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) bool {
+	losses := map[int32]int{}
+	for _, r := range lost {
+		losses[v.Searchers[r].Domain]++
+	}
+	inLiveDomains := 0
+	for domain, n := range losses {
+		if s.domainAlive(ctx, v, domain, reached) {
+			inLiveDomains += n
+		}
+	}
+	return inLiveDomains >= gatherer.PoisonLosses
+}
+
+func (s *Scatterer) domainAlive(ctx context.Context, v *planner.View, domain int32, reached func(int32) bool) bool {
+	asked := 0
+	offset := s.random(len(v.Searchers))
+	for i := range v.Searchers {
+		n := int32((i + offset) % len(v.Searchers))
+		if v.Searchers[n].Domain != domain || reached(n) {
+			continue
+		}
+		if s.Dialer.Alive(ctx, v.Searchers[n].Address, CheckTimeout) {
+			return true
+		}
+		if asked++; asked == BystandersPerSet {
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/server/callers.go
@@ -0,0 +1,29 @@
+package server
+
+import (
+	"net/http"
+
+	"github.com/gorilla/mux"
+
+	"github.com/pistachiogap/pistachiogap/refuser"
+)
+
+// NewCallers returns the handler of the callers' port.
+func NewCallers(s *Searches, o *Orders) http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/search/{index}", Handle(s.decode, s.serve)).Methods(http.MethodPost)
+	r.HandleFunc("/v1/order/{service}", o.issue).Methods(http.MethodPost)
+	r.HandleFunc("/v1/order/{service}/{ticket}", Handle(o.decode, o.serve)).Methods(http.MethodPost)
+	refuseOthers(r)
+	return limitBody(r)
+}
+
+// refuseOthers answers unknown paths and methods from the table of kinds.
+func refuseOthers(r *mux.Router) {
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Refuse(w, r, refuser.New(refuser.UnknownPath, "there is nothing at this path"))
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Refuse(w, r, refuser.New(refuser.MethodNotAllowed, "method %s is not served here", r.Method))
+	})
+}
--- /dev/null
+++ b/server/constants.go
@@ -0,0 +1,21 @@
+package server
+
+import "time"
+
+// Bounds of what callers may send.
+const (
+	MaxBodyBytes   = 64 << 10
+	MaxHeaderBytes = 16 << 10
+	BodyTimeout    = 2 * time.Second
+	HeaderTimeout  = 2 * time.Second
+	IdleTimeout    = 2 * time.Minute
+	DefaultLimit   = 20
+	MaxLimit       = 1000
+)
+
+// The headers of the callers' protocol.
+const (
+	HeaderRequest  = "Request-Id"
+	HeaderDeadline = "Deadline-Ms"
+	HeaderKey      = "Idempotency-Key"
+)
--- /dev/null
+++ b/server/doc.go
@@ -0,0 +1,2 @@
+// Package server answers callers and operators over HTTP.
+package server
--- /dev/null
+++ b/server/handler.go
@@ -0,0 +1,111 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/refuser"
+)
+
+// RefusalBody is the body of every refusal.
+type RefusalBody struct {
+	Kind       refuser.Kind      `json:"kind"`
+	Detail     string            `json:"detail"`
+	Request    modeler.RequestID `json:"request-id,omitempty"`
+	NotRun     refuser.Truth     `json:"not-run"`
+	MayRetry   bool              `json:"may-retry"`
+	RetryAfter modeler.Duration  `json:"retry-after"`
+	Harm       refuser.Harm      `json:"harm"`
+}
+
+// Check returns the faults of the body.
+func (b *RefusalBody) Check() modeler.Problems {
+	var p modeler.Problems
+	if b.Kind == "" {
+		p.Add("is empty", "kind")
+	}
+	return p
+}
+
+// Handle makes a handler that decodes a request, serves it and writes the answer or the refusal.
+func Handle[In, Out any](decode func(*http.Request) (In, error), serve func(context.Context, In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		in, err := decode(r)
+		if err != nil {
+			Refuse(w, r, err)
+			return
+		}
+		out, err := serve(r.Context(), in)
+		if err != nil {
+			Refuse(w, r, err)
+			return
+		}
+		Write(w, http.StatusOK, out)
+	}
+}
+
+// Write writes a value as JSON.
+func Write[T any](w http.ResponseWriter, status int, v T) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		klog.Errorf("server: answer cannot be written: %v", err)
+		status, b = http.StatusInternalServerError, []byte(`{"kind":"internal"}`)
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(b)+1))
+	h.Set(dialer.HeaderCheck, dialer.CheckValue(append(b, '\n')))
+	w.WriteHeader(status)
+	_, _ = w.Write(append(b, '\n'))
+}
+
+// Refuse writes the refusal within err as its row of the table says.
+func Refuse(w http.ResponseWriter, r *http.Request, err error) {
+	refusal := refuser.From(err)
+	row := refuser.Lookup(refusal.Kind)
+	if row.RetryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(row.RetryAfter/time.Second)))
+	}
+	id, _ := modeler.ParseRequestID(r.Header.Get(HeaderRequest))
+	Write(w, row.Status, RefusalBody{
+		refusal.Kind, refusal.Detail, id, row.NotRun, row.MayRetry, modeler.Duration{Duration: row.RetryAfter}, row.Harm,
+	})
+}
+
+// limitBody gives the body of a request a time limit and a size limit.
+func limitBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(BodyTimeout))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+		_ = control.SetReadDeadline(time.Time{})
+		if err != nil {
+			Refuse(w, r, bodyRefusal(err))
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		next.ServeHTTP(w, r)
+	})
+}
+
+func bodyRefusal(err error) *refuser.Refusal {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return refuser.New(refuser.BodyTooLarge, "body is larger than %d bytes", MaxBodyBytes)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refuser.New(refuser.BodyTimeout, "body did not arrive within %s", BodyTimeout)
+	}
+	return refuser.New(refuser.MalformedRequest, "body cannot be read: %v", err)
+}
--- /dev/null
+++ b/spawner/spawner.go
@@ -0,0 +1,35 @@
+package spawner
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// Go runs fn in a goroutine and reports its error, or nil, on the channel returned.
+func Go(ctx context.Context, fn func(context.Context) error) <-chan error {
+	done := make(chan error, 1)
+	go func() { done <- guarded(ctx, fn) }()
+	return done
+}
+
+// Wait reads all ends and returns the first error that is not the context's own.
+func Wait(ends ...<-chan error) error {
+	var first error
+	for _, end := range ends {
+		err := <-end
+		if err != nil && first == nil && !errors.Is(err, context.Canceled) {
+			first = err
+		}
+	}
+	return first
+}
+
+func guarded(ctx context.Context, fn func(context.Context) error) (err error) {
+	defer func() {
+		if v := recover(); v != nil {
+			err = errors.Errorf("goroutine panicked: %v", v)
+		}
+	}()
+	return fn(ctx)
+}
