--- a/faker/platform.go
+++ b/faker/platform.go
@@ -207,3 +207,10 @@
 	}
 	server.Write(w, http.StatusOK, l)
 }
+
+// Revision returns the newest revision, whatever readers are shown.
+func (p *Platform) Revision() modeler.Revision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision
+}
--- a/faker/searcher.go
+++ b/faker/searcher.go
@@ -37,7 +37,9 @@
 	Service       time.Duration
 	Extra         time.Duration
 	Draining      bool
+	InBand        bool
 	LieHealth     bool
+	Refuse        bool
 	Shed          bool
 	CrashOn       string
 	RestartAfter  time.Duration
@@ -192,10 +194,13 @@
 	conduct, _ := s.state()
 	index := modeler.IndexName(r.Header.Get(dialer.HeaderIndex))
 	w.Header().Set(dialer.HeaderHeld, s.heldIDs(index))
-	if conduct.Draining {
+	if conduct.Draining && conduct.Refuse {
 		refuse(w, dialer.RefusedDraining)
 		return
 	}
+	if conduct.Draining && conduct.InBand {
+		w.Header().Set(dialer.HeaderDraining, "true")
+	}
 	id, _ := strconv.ParseUint(r.Header.Get(dialer.HeaderSnapshot), 10, 64)
 	shard, ok := s.shard(index, modeler.SnapshotID(id), modeler.ShardName(r.Header.Get(dialer.HeaderShard)))
 	if !ok {
@@ -295,7 +300,7 @@
 	conduct, _ := s.state()
 	at, _ := strconv.ParseInt(r.Header.Get(dialer.HeaderDeadlineAt), 10, 64)
 	switch {
-	case conduct.Draining:
+	case conduct.Draining && conduct.Refuse:
 		refuse(w, dialer.RefusedDraining)
 		return
 	case conduct.Shed:
--- /dev/null
+++ b/faker/without.go
@@ -0,0 +1,45 @@
+package faker
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/pistachiogap/pistachiogap/configurer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/gossiper"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/orderer"
+	"github.com/pistachiogap/pistachiogap/runner"
+	"github.com/pistachiogap/pistachiogap/scatterer"
+	"github.com/pistachiogap/pistachiogap/ticketer"
+)
+
+// Without returns the mechanisms of a VM with the named one switched off.
+func Without(name string) (runner.Mechanisms, error) {
+	m := runner.AllOn()
+	switch name {
+	case "":
+	case "match":
+		m.Scatterer = append(m.Scatterer, scatterer.WithMatch(func(gatherer.Claim, gatherer.Claim) bool { return true }))
+	case "hold":
+		m.Scatterer = append(m.Scatterer, scatterer.WithHold(func(bool) bool { return false }))
+	case "hedges":
+		m.Scatterer = append(m.Scatterer, scatterer.WithHedging(false))
+	case "retry-budget":
+		m.Scatterer = append(m.Scatterer, scatterer.WithRetryBudget(false))
+	case "news":
+		m.TellNews = false
+	case "handover":
+		m.Handover = false
+	case "tickets":
+		m.Tickets = ticketer.WithoutRecords
+	case "proof":
+		m.Orderer = append(m.Orderer, orderer.WithProof(false))
+	case "order":
+		m.Store = append(m.Store, configurer.WithOrder(func(offered, held modeler.Revision) bool { return offered != held }))
+	case "refutation":
+		m.Node = append(m.Node, gossiper.WithRefutation(false))
+	default:
+		return m, errors.Errorf("there is no mechanism %q", name)
+	}
+	return m, nil
+}
--- a/runner/neighbours.go
+++ b/runner/neighbours.go
@@ -25,6 +25,7 @@
 // Bounds of what a VM asks of its neighbours.
 const (
 	JoinTimeout    = time.Second
+	JoinPeers      = 3
 	PullTimeout    = 2 * time.Second
 	AdoptTimeout   = 2 * time.Second
 	HandoverWait   = 10 * time.Millisecond
@@ -77,16 +78,8 @@
 	if l, err := v.platform.Listing(ctx); err == nil {
 		v.listed(l)
 	}
-	for _, a := range v.seeds() {
-		ctx, cancel := context.WithTimeout(ctx, JoinTimeout)
-		err := v.syncWith(ctx, a)
-		if err == nil {
-			v.pullFrom(ctx, a)
-		}
-		cancel()
-		if err == nil {
-			break
-		}
+	for _, a := range v.syncSome(ctx, JoinPeers) {
+		v.pullFrom(ctx, a)
 	}
 	ctx, cancel := context.WithTimeout(ctx, JoinTimeout)
 	defer cancel()
@@ -95,6 +88,22 @@
 	}
 }
 
+// syncSome compares members with up to n VMs that answer, and returns their addresses.
+func (v *VM) syncSome(ctx context.Context, n int) []netip.AddrPort {
+	var answered []netip.AddrPort
+	for _, a := range v.seeds() {
+		if len(answered) == n || ctx.Err() != nil {
+			break
+		}
+		call, cancel := context.WithTimeout(ctx, JoinTimeout)
+		if v.syncWith(call, a) == nil {
+			answered = append(answered, a)
+		}
+		cancel()
+	}
+	return answered
+}
+
 // seeds returns the addresses at which other VMs may answer, in random order.
 func (v *VM) seeds() []netip.AddrPort {
 	seen := map[netip.AddrPort]bool{v.cfg.Advertise: true}
@@ -274,8 +283,14 @@
 func (v *VM) forward(ctx context.Context, home ticketer.Incarnation, s orderer.Submission) ticketer.Outcome {
 	ctx, cancel := context.WithDeadline(ctx, s.Deadline)
 	defer cancel()
+	asked := false
 	for ctx.Err() == nil {
 		m, ok := v.gossip.Find(home)
+		if !ok && !asked {
+			asked = true
+			v.syncSome(ctx, JoinPeers)
+			continue
+		}
 		if !ok {
 			return ticketer.Outcome{Kind: refuser.OutcomeUnknown, Detail: "the VM that answers for the ticket is gone"}
 		}
