Prove the promises under kill, freeze, partition, poison, silence, drain and roll

Each scenario has a variant with its mechanism off that trips the check: match, hold, news, tickets, proof, handover, order by revision.

Found by them: - silence: a hedge took an idle connection that was as dead as the first one. Ruled out: the budget. The second hedge now opens a new connection. - silence: that second hedge starved on the hedge budget while all connections were dead. It now spends the retry budget.

--- a/configurer/store.go
+++ b/configurer/store.go
@@ -182,15 +182,19 @@
 	return st
 }
 
-// Revisions returns the newest revision held of each key, accepted or refused.
-func (s *Store) Revisions() map[string]modeler.Revision {
+// Lacks returns the keys of a directory whose value the store has to read.
+func (s *Store) Lacks(directory map[string]modeler.Revision) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	m := make(map[string]modeler.Revision, len(s.entries))
-	for k, e := range s.entries {
-		m[k] = max(e.accepted.Revision, e.refused.Revision)
+	var keys []string
+	for k, r := range directory {
+		e := s.entries[k]
+		if e == nil || s.newer(r, max(e.accepted.Revision, e.refused.Revision)) {
+			keys = append(keys, k)
+		}
 	}
-	return m
+	slices.Sort(keys)
+	return keys
 }
 
 func (s *Store) keys() []string {
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -74,6 +74,7 @@
 	Deadline time.Time
 	Body     []byte
 	Proven   bool
+	Fresh    bool
 }
 
 // Reply is what came back of a call.
@@ -88,7 +89,7 @@
 // Do sends a call on one connection and returns what came back; it never sends twice.
 func (d *Dialer) Do(ctx context.Context, call Call) Reply {
 	p := d.pool(call.Address)
-	c, err := p.take(ctx, d.now(), call.Proven)
+	c, err := p.take(ctx, d.now(), trustOf(call))
 	if err != nil {
 		return Reply{Fault: gatherer.FaultNotSent}
 	}
@@ -113,6 +114,16 @@
 	return r
 }
 
+func trustOf(c Call) trust {
+	switch {
+	case c.Fresh:
+		return newOnly
+	case c.Proven:
+		return provenIdle
+	}
+	return anyIdle
+}
+
 func (d *Dialer) failed(ctx context.Context, p *pool, c *conn, sent time.Time, silent bool) gatherer.Fault {
 	if !silent {
 		p.retire(c, time.Time{})
@@ -210,7 +221,7 @@
 	c := p.oldestIdle(d.now())
 	if c == nil {
 		var err error
-		if c, err = p.take(ctx, d.now(), false); err != nil {
+		if c, err = p.take(ctx, d.now(), anyIdle); err != nil {
 			return Load{}, err
 		}
 	}
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -25,10 +25,19 @@
 // grant hands a waiter an idle connection, or the right to open one.
 type grant struct{ conn *conn }
 
-// take returns a connection within the budget; proven asks for one that is new or was read from within ProveAfter.
-func (p *pool) take(ctx context.Context, now time.Time, proven bool) (*conn, error) {
+// trust says which idle connections a call may use.
+type trust uint8
+
+const (
+	anyIdle    trust = iota
+	provenIdle       // only those read from within ProveAfter
+	newOnly          // none
+)
+
+// take returns a connection within the budget.
+func (p *pool) take(ctx context.Context, now time.Time, t trust) (*conn, error) {
 	p.mu.Lock()
-	if c := p.takeIdle(now, proven); c != nil {
+	if c := p.takeIdle(now, t); c != nil {
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -52,17 +61,23 @@
 	}
 }
 
-// takeIdle returns the idle connection read from last; it closes those that are stale or, if a proven one is asked for, too long unread.
-func (p *pool) takeIdle(now time.Time, proven bool) *conn {
+// takeIdle returns the idle connection read from last; it closes those that are stale or not trusted, and one to make room for a new one.
+func (p *pool) takeIdle(now time.Time, t trust) *conn {
+	if t == newOnly && p.open < p.budget(now) {
+		return nil
+	}
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
-		unproven := proven && now.Sub(c.lastRead) > ProveAfter
-		if !unproven && !c.lastRead.Before(p.suspect) && !c.stale() {
+		unproven := t == provenIdle && now.Sub(c.lastRead) > ProveAfter
+		if t != newOnly && !unproven && !c.lastRead.Before(p.suspect) && !c.stale() {
 			return c
 		}
 		p.open--
 		_ = c.Close()
+		if t == newOnly {
+			return nil
+		}
 	}
 	return nil
 }
--- a/faker/expect.go
+++ b/faker/expect.go
@@ -12,6 +12,7 @@
 
 	"github.com/pistachiogap/pistachiogap/gossiper"
 	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/recorder"
 	"github.com/pistachiogap/pistachiogap/refuser"
 	"github.com/pistachiogap/pistachiogap/server"
 )
@@ -68,7 +69,7 @@
 	case "complete":
 		return float64(t.Complete), "", nil
 	case "partial":
-		return float64(t.Partial), "", nil
+		return float64(t.Partial), s.explain(t.Last), nil
 	case "errors":
 		return float64(t.Errors), "", nil
 	case "refused":
@@ -87,6 +88,26 @@
 	return s.recorded(name, o)
 }
 
+// explain returns the time line of a request over all VMs, for a scenario that fails.
+func (s *Stage) explain(id modeler.RequestID) string {
+	if id == "" {
+		return ""
+	}
+	var lines [][]recorder.Event
+	for _, m := range s.machines() {
+		if page, err := s.client.Timeline(s.ctx, m.settings.Listen.Operators, 0, id); err == nil {
+			lines = append(lines, page.Events)
+		}
+	}
+	var b strings.Builder
+	for _, e := range recorder.Merge(lines...) {
+		e.Plan = nil
+		text, _ := json.Marshal(e)
+		b.WriteString("\n" + string(text))
+	}
+	return b.String()
+}
+
 func (s *Stage) recorded(name string, o Options) (float64, string, error) {
 	text := o.Text("text", "poison")
 	switch name {
--- a/faker/platform.go
+++ b/faker/platform.go
@@ -39,6 +39,7 @@
 	frozen   *Platform
 	listing  modeler.Listing
 	down     bool
+	past     map[modeler.Revision]map[string]stored
 	changed  chan struct{}
 	calls    int
 	end      context.CancelFunc
@@ -52,7 +53,7 @@
 		return nil, err
 	}
 	p := &Platform{
-		Address: l.Addr().(*net.TCPAddr).AddrPort(), values: map[string]stored{}, changed: make(chan struct{}),
+		Address: l.Addr().(*net.TCPAddr).AddrPort(), values: map[string]stored{}, past: map[modeler.Revision]map[string]stored{}, changed: make(chan struct{}),
 	}
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/keys", p.directory)
@@ -77,6 +78,7 @@
 	defer p.mu.Unlock()
 	p.revision++
 	p.values[key] = stored{p.revision, text}
+	p.past[p.revision] = maps.Clone(p.values)
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return p.revision
@@ -117,6 +119,13 @@
 	}
 }
 
+// SetBack makes the platform answer as it stood at an earlier revision.
+func (p *Platform) SetBack(r modeler.Revision) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.frozen = &Platform{revision: r, values: p.past[r]}
+}
+
 // Calls returns how many calls were counted.
 func (p *Platform) Calls() int {
 	p.mu.Lock()
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -228,7 +228,7 @@
 	if err != nil {
 		return err
 	}
-	m := &machine{settings: cfg}
+	m := &machine{settings: cfg, hidden: true}
 	if inside {
 		err = s.beginInside(m, o)
 	} else {
@@ -377,6 +377,7 @@
 		if err := WaitReady(s.ctx, []runner.Settings{m.settings}, readyLimit); err != nil {
 			return err
 		}
+		s.hide(n, false)
 	}
 	return nil
 }
--- a/faker/traffic.go
+++ b/faker/traffic.go
@@ -29,6 +29,7 @@
 	Needed   int
 	Slowest  time.Duration
 	Faults   []string
+	Last     modeler.RequestID
 }
 
 // Traffic sends searches to the VMs of a stage and checks every answer.
@@ -101,6 +102,7 @@
 		t.tally.Complete++
 	} else {
 		t.tally.Partial++
+		t.tally.Last = a.Request
 	}
 	t.tally.Attempts += a.Attempts
 	t.tally.Needed += a.Coverage.ShardsTotal
--- a/faker/verbs.go
+++ b/faker/verbs.go
@@ -99,7 +99,7 @@
 	return errors.Errorf("vm %s is no verb", what)
 }
 
-func verbPlatform(s *Stage, words []string, _ Options) error {
+func verbPlatform(s *Stage, words []string, o Options) error {
 	switch strings.Join(words, " ") {
 	case "down":
 		s.world.Platform.SetDown(true)
@@ -109,8 +109,10 @@
 		s.world.Platform.SetStale(true)
 	case "fresh":
 		s.world.Platform.SetStale(false)
+	case "back":
+		s.world.Platform.SetBack(modeler.Revision(o.Float("revision", 1)))
 	default:
-		return errors.New("platform down|up|stale|fresh")
+		return errors.New("platform down|up|stale|fresh|back")
 	}
 	return nil
 }
@@ -126,6 +128,7 @@
 	for i := range c.Indexes {
 		x := &c.Indexes[i]
 		x.Policy.Deadline.Duration = o.Duration("deadline", x.Policy.Deadline.Duration)
+		x.Policy.Patience = x.Policy.Deadline
 		if id := o.Float("snapshot", 0); id > 0 {
 			x.Snapshots = append(append([]modeler.Snapshot(nil), x.Snapshots...), repartition(x.Snapshots[len(x.Snapshots)-1], modeler.SnapshotID(id)))
 		}
--- a/faker/without.go
+++ b/faker/without.go
@@ -1,6 +1,8 @@
 package faker
 
 import (
+	"strings"
+
 	"github.com/pkg/errors"
 
 	"github.com/pistachiogap/pistachiogap/configurer"
@@ -13,9 +15,18 @@
 	"github.com/pistachiogap/pistachiogap/ticketer"
 )
 
-// Without returns the mechanisms of a VM with the named one switched off.
-func Without(name string) (runner.Mechanisms, error) {
+// Without returns the mechanisms of a VM with those switched off that a list separated by commas names.
+func Without(list string) (runner.Mechanisms, error) {
 	m := runner.AllOn()
+	for name := range strings.SplitSeq(list, ",") {
+		if err := switchOff(&m, name); err != nil {
+			return m, err
+		}
+	}
+	return m, nil
+}
+
+func switchOff(m *runner.Mechanisms, name string) error {
 	switch name {
 	case "":
 	case "match":
@@ -39,7 +50,7 @@
 	case "refutation":
 		m.Node = append(m.Node, gossiper.WithRefutation(false))
 	default:
-		return m, errors.Errorf("there is no mechanism %q", name)
+		return errors.Errorf("there is no mechanism %q", name)
 	}
-	return m, nil
+	return nil
 }
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -51,7 +51,7 @@
 	phase   phase
 	tries   uint8
 	open    uint8
-	hedged  bool
+	hedges  uint8
 	fault   Fault
 	tried   [MaxTries]int32
 	hedgeAt time.Time
@@ -129,14 +129,14 @@
 	q.nextHedge = q.plan.Deadline
 	for i := range q.shards {
 		s := &q.shards[i]
-		if s.phase != shardOpen || s.hedged {
+		if s.phase != shardOpen || s.hedges == MaxHedges {
 			continue
 		}
 		if !now.Before(s.hedgeAt) {
 			s.hedgeAt = now.Add(q.seams.HedgeAfter(int32(i)))
 			out = q.hedge(now, int32(i), out)
 		}
-		if !s.hedged {
+		if s.hedges < MaxHedges {
 			q.nextHedge = earlier(q.nextHedge, s.hedgeAt)
 		}
 	}
@@ -272,26 +272,40 @@
 	return append(out, Action{ActionSend, p, id, shard, searcher})
 }
 
-// hedge sends a straggling shard again; before the first answer it goes to the same replica on a new connection, so that a crashing request never reaches a second one.
+// hedge sends a straggling shard to another replica, and later once more on a new connection, for all open ones may be silent; before the first answer it goes to the same replica on a new connection, so that a crashing request never reaches a second one.
 func (q *Query) hedge(now time.Time, shard int32, out []Action) []Action {
 	s := &q.shards[shard]
 	if int(s.tries) >= MaxTries {
+		s.hedges = MaxHedges
 		return out
 	}
 	if q.seams.Hold(q.cleared) {
-		if len(q.lost) > 0 || q.probes >= CanaryProbes {
-			return out
-		}
-		q.probes++
-		s.hedged = true
-		return q.send(now, shard, s.tried[s.tries-1], Probe, out)
+		return q.probe(now, shard, out)
 	}
 	searcher, ok := q.seams.Pick(now, shard, s.tried[:s.tries])
-	if !ok || !q.seams.Spend(now, Hedge) {
+	if !ok && s.hedges > 0 {
+		searcher, ok = s.tried[0], true
+	}
+	purpose := Hedge
+	if s.hedges > 0 {
+		purpose = Probe
+	}
+	if !ok || !q.seams.Spend(now, purpose) {
+		return out
+	}
+	s.hedges++
+	return q.send(now, shard, searcher, purpose, out)
+}
+
+// probe asks the same replica again on a new connection, for a few shards of a query that nothing has answered yet.
+func (q *Query) probe(now time.Time, shard int32, out []Action) []Action {
+	s := &q.shards[shard]
+	if len(q.lost) > 0 || q.probes >= CanaryProbes {
 		return out
 	}
-	s.hedged = true
-	return q.send(now, shard, searcher, Hedge, out)
+	q.probes++
+	s.hedges++
+	return q.send(now, shard, s.tried[s.tries-1], Probe, out)
 }
 
 // verdict ends a query that crashes searchers; otherwise one held shard tries another replica, whose answer clears the rest.
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -243,7 +243,7 @@
 		Margin: v.cfg.ReturnMargin.Duration, Done: v.countSearch,
 	}
 	orders := &server.Orders{Orderer: v.orderer, Done: v.countOrder}
-	return server.Serve(ctx, server.NewHTTPServer(server.NewCallers(searches, orders)), v.callers, v.cfg.Grace.Duration)
+	return server.Serve(ctx, server.NewHTTPServer(server.NewCallers(searches, orders, v.draining.Load)), v.callers, v.cfg.Grace.Duration)
 }
 
 func (v *VM) servePeers(ctx context.Context) error {
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -158,6 +158,7 @@
 		Deadline: r.req.Deadline.Add(-r.req.View.Searchers[a.Searcher].Link / 2),
 		Body:     r.req.Body,
 		Proven:   a.Purpose != gatherer.Primary,
+		Fresh:    a.Purpose == gatherer.Probe,
 	}
 	go r.attempt(ctx, cancel, a, call)
 }
--- a/server/callers.go
+++ b/server/callers.go
@@ -8,14 +8,20 @@
 	"github.com/pistachiogap/pistachiogap/refuser"
 )
 
-// NewCallers returns the handler of the callers' port.
-func NewCallers(s *Searches, o *Orders) http.Handler {
+// NewCallers returns the handler of the callers' port; while draining it asks callers not to use their connections again.
+func NewCallers(s *Searches, o *Orders, draining func() bool) http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/search/{index}", Handle(s.decode, s.serve)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/order/{service}", o.issue).Methods(http.MethodPost)
 	r.HandleFunc("/v1/order/{service}/{ticket}", Handle(o.decode, o.serve)).Methods(http.MethodPost)
 	refuseOthers(r)
-	return limitBody(r)
+	limited := limitBody(r)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if draining() {
+			w.Header().Set("Connection", "close")
+		}
+		limited.ServeHTTP(w, r)
+	})
 }
 
 // refuseOthers answers unknown paths and methods from the table of kinds.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -23,7 +23,7 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	failed := 0
 	for ctx.Err() == nil {
-		err := w.Refresh(ctx, w.Reader())
+		err := w.Refresh(ctx, w.Reader() && failed == 0)
 		wait := time.Duration(0)
 		switch {
 		case err != nil:
@@ -58,12 +58,8 @@
 	if err != nil {
 		return err
 	}
-	held := w.Store.Revisions()
 	var values []configurer.Value
-	for key, rev := range d.Keys {
-		if rev <= held[key] {
-			continue
-		}
+	for _, key := range w.Store.Lacks(d.Keys) {
 		v, err := w.Client.Value(ctx, key)
 		if err != nil {
 			return err
