Judge a crashing request twice, and only while nothing has answered it

A failure domain was dying while the bystanders in it were asked, and a verdict came after the query had been answered. Ruled out: the count of losses (it was right).

--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -311,6 +311,9 @@
 // verdict ends a query that crashes searchers; otherwise one held shard tries another replica, whose answer clears the rest.
 func (q *Query) verdict(now time.Time, poison bool, out []Action) []Action {
 	q.checking = false
+	if q.cleared {
+		return out
+	}
 	if poison {
 		out = append(out, Action{Kind: ActionQuarantine})
 		return q.finish(out)
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -226,7 +226,9 @@
 			b.Returned(now)
 		}
 	case ctx.Err() != nil && e.event.Fault == gatherer.FaultNotSent:
-		r.s.starved.Add(1)
+		if !now.Before(r.req.Deadline) {
+			r.s.starved.Add(1)
+		}
 		b.Ended()
 	case ctx.Err() != nil:
 		b.Cancelled(took)
@@ -259,7 +261,7 @@
 	if r.crashed || r.query.Answered() > 0 || len(lost) < gatherer.PoisonLosses {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), CheckTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
 	defer cancel()
 	if r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return r.reached[n] }) {
 		r.quarantine()
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -127,8 +127,22 @@
 	return r.result()
 }
 
-// Judge reports whether the losses of a request are its own doing: at least PoisonLosses of them happened in failure domains in which searchers that it never reached are alive.
+// Judge reports whether the losses of a request are its own doing: at least PoisonLosses of them happened in failure domains in which searchers that it never reached are alive, now and RecheckAfter later, for a failure domain does not die all at once.
 func (s *Scatterer) Judge(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) bool {
+	if !s.aliveAround(ctx, v, lost, reached) {
+		return false
+	}
+	t := time.NewTimer(RecheckAfter)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return false
+	}
+	return s.aliveAround(ctx, v, lost, reached)
+}
+
+func (s *Scatterer) aliveAround(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) bool {
 	losses := map[int32]int{}
 	for _, r := range lost {
 		losses[v.Searchers[r].Domain]++
@@ -142,20 +156,19 @@
 	return inLiveDomains >= gatherer.PoisonLosses
 }
 
+// domainAlive asks a few searchers of a failure domain that the request never reached; most of them must answer.
 func (s *Scatterer) domainAlive(ctx context.Context, v *planner.View, domain int32, reached func(int32) bool) bool {
-	asked := 0
+	asked, alive := 0, 0
 	offset := s.random(len(v.Searchers))
 	for i := range v.Searchers {
 		n := int32((i + offset) % len(v.Searchers))
-		if v.Searchers[n].Domain != domain || reached(n) {
+		if asked == Bystanders || v.Searchers[n].Domain != domain || reached(n) {
 			continue
 		}
+		asked++
 		if s.Dialer.Alive(ctx, v.Searchers[n].Address, CheckTimeout) {
-			return true
-		}
-		if asked++; asked == BystandersPerSet {
-			return false
+			alive++
 		}
 	}
-	return false
+	return 2*alive > asked
 }
