--- a/commander/serve.go
+++ b/commander/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"runtime/debug"
 
 	"github.com/urfave/cli/v3"
 
@@ -10,6 +11,9 @@
 	"github.com/pistachiogap/pistachiogap/runner"
 )
 
+// gcPercent lets the small heap of a VM grow further between collections.
+const gcPercent = 400
+
 func serveCommand() *cli.Command {
 	return &cli.Command{
 		Name: "serve", Usage: "run one VM of the tier until it is told to end",
@@ -23,6 +27,9 @@
 	if err != nil {
 		return err
 	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	vm, err := runner.NewVM(cfg)
 	if err != nil {
 		return usage(err)
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -3,13 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"syscall"
 	"time"
 
-	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 )
 
 // conn is one HTTP/1.1 connection to a searcher that carries one request at a time.
@@ -27,45 +25,32 @@
 	return k
 }
 
-// exchange sends one request and reads the whole answer; silent says that no byte of an answer came.
-func (c *conn) exchange(ctx context.Context, req *http.Request) (res *http.Response, body []byte, silent bool, err error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := req.Write(c.w); err != nil {
-		return nil, nil, true, err
-	}
-	if err := c.w.Flush(); err != nil {
-		return nil, nil, true, err
-	}
-	if _, err := c.r.Peek(1); err != nil {
-		return nil, nil, true, err
-	}
-	res, err = http.ReadResponse(c.r, req)
-	if err != nil {
-		return nil, nil, false, err
-	}
-	body, err = readBody(res)
-	if err == nil && !stop() {
-		err = context.Cause(ctx)
+// exchange sends one request and reads the whole answer; silent says that no byte of an answer came. Once the context ends it waits for no longer than the linger, so that a connection is not lost for an answer that is nearly there.
+func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, linger time.Duration) (silent bool, err error) {
+	cut := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = c.SetDeadline(time.Now().Add(linger))
+		close(cut)
+	})
+	silent, err = c.transfer(req, res)
+	if !stop() {
+		<-cut
+		_ = c.SetDeadline(time.Time{})
 	}
-	return res, body, false, err
+	return silent, err
 }
 
-func readBody(res *http.Response) ([]byte, error) {
-	defer func() { _ = res.Body.Close() }()
-	if res.ContentLength > MaxAnswerBytes {
-		return nil, errors.New("answer is too large")
+func (c *conn) transfer(req *fasthttp.Request, res *fasthttp.Response) (silent bool, err error) {
+	if err := req.Write(c.w); err != nil {
+		return true, err
 	}
-	if n := res.ContentLength; n >= 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(res.Body, body)
-		return body, err
+	if err := c.w.Flush(); err != nil {
+		return true, err
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, MaxAnswerBytes+1))
-	if len(body) > MaxAnswerBytes {
-		return nil, errors.New("answer is too large")
+	if _, err := c.r.Peek(1); err != nil {
+		return true, err
 	}
-	return body, err
+	return false, res.ReadLimitBody(c.r, MaxAnswerBytes)
 }
 
 // stale reports whether the other end closed the idle connection or sent something unasked.
--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -11,6 +11,7 @@
 	ShrinkPeriod    = 5 * time.Second
 	writeBufferSize = 2 << 10
 	readBufferSize  = 8 << 10
+	userAgent       = "pistachiogap"
 )
 
 // The headers of the searcher protocol.
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -3,17 +3,15 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -75,6 +73,7 @@
 	Body     []byte
 	Proven   bool
 	Fresh    bool
+	Linger   time.Duration
 }
 
 // Reply is what came back of a call.
@@ -97,23 +96,31 @@
 		p.put(c, c.lastRead)
 		return Reply{Fault: gatherer.FaultNotSent, Late: true}
 	}
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	d.fill(req, call)
 	sent := d.now()
-	res, body, silent, err := c.exchange(ctx, d.request(call))
-	if err != nil {
+	if silent, err := c.exchange(ctx, req, res, call.Linger); err != nil {
 		return Reply{Fault: d.failed(ctx, p, c, sent, silent)}
 	}
-	if res.Close {
-		p.retire(c, time.Time{})
-	} else {
-		p.put(c, d.now())
-	}
-	r := read(res, body)
+	d.give(p, c, res)
+	r := read(res)
 	if r.Fault == gatherer.FaultNotSent {
 		p.refused(d.now())
 	}
 	return r
 }
 
+// give returns a connection to its pool, unless the searcher closes it.
+func (d *Dialer) give(p *pool, c *conn, res *fasthttp.Response) {
+	if res.ConnectionClose() {
+		p.retire(c, time.Time{})
+		return
+	}
+	p.put(c, d.now())
+}
+
 func trustOf(c Call) trust {
 	switch {
 	case c.Fresh:
@@ -142,46 +149,42 @@
 	return gatherer.FaultSilent
 }
 
-func (d *Dialer) request(call Call) *http.Request {
+// fill writes a call into a request.
+func (d *Dialer) fill(req *fasthttp.Request, call Call) {
 	left := call.Deadline.Sub(d.now()).Milliseconds()
-	h := http.Header{
-		HeaderRequest:    {string(call.Request)},
-		HeaderAttempt:    {call.Attempt},
-		HeaderDeadline:   {strconv.FormatInt(max(1, left), 10)},
-		HeaderDeadlineAt: {strconv.FormatInt(call.Deadline.UnixMilli(), 10)},
-		"Content-Type":   {"application/json"},
-		"User-Agent":     {"pistachiogap"},
-	}
+	req.SetRequestURI(call.Path)
+	h := &req.Header
+	h.SetMethod(fasthttp.MethodPost)
+	h.SetHost(call.Address.String())
+	h.SetUserAgent(userAgent)
+	h.SetContentType("application/json")
+	h.Set(HeaderRequest, string(call.Request))
+	h.Set(HeaderAttempt, call.Attempt)
+	h.Set(HeaderDeadline, strconv.FormatInt(max(1, left), 10))
+	h.Set(HeaderDeadlineAt, strconv.FormatInt(call.Deadline.UnixMilli(), 10))
 	if call.Shard != "" {
-		h[HeaderIndex] = []string{string(call.Index)}
-		h[HeaderShard] = []string{string(call.Shard)}
-		h[HeaderSnapshot] = []string{strconv.FormatUint(uint64(call.Snapshot), 10)}
-	}
-	return &http.Request{
-		Method:        http.MethodPost,
-		URL:           &url.URL{Scheme: "http", Host: call.Address.String(), Path: call.Path},
-		Host:          call.Address.String(),
-		Header:        h,
-		Body:          io.NopCloser(bytes.NewReader(call.Body)),
-		ContentLength: int64(len(call.Body)),
+		h.Set(HeaderIndex, string(call.Index))
+		h.Set(HeaderShard, string(call.Shard))
+		h.Set(HeaderSnapshot, strconv.FormatUint(uint64(call.Snapshot), 10))
 	}
+	req.SetBodyRaw(call.Body)
 }
 
-func read(res *http.Response, body []byte) Reply {
+func read(res *fasthttp.Response) Reply {
 	r := Reply{
-		Body:     body,
-		Draining: res.Header.Get(HeaderDraining) == "true",
-		Held:     parseHeld(res.Header.Get(HeaderHeld)),
+		Body:     bytes.Clone(res.Body()),
+		Draining: string(res.Header.Peek(HeaderDraining)) == "true",
+		Held:     parseHeld(string(res.Header.Peek(HeaderHeld))),
 	}
-	if check := res.Header.Get(HeaderCheck); check != "" && check != CheckValue(body) {
+	if check := res.Header.Peek(HeaderCheck); len(check) > 0 && string(check) != CheckValue(r.Body) {
 		r.Fault = gatherer.FaultCorrupt
 		return r
 	}
-	if res.StatusCode == http.StatusOK {
+	if res.StatusCode() == fasthttp.StatusOK {
 		return r
 	}
 	r.Fault = gatherer.FaultRejected
-	refusal, err := parser.DecodeStrict[SearcherRefusal](body)
+	refusal, err := parser.DecodeStrict[SearcherRefusal](r.Body)
 	if err != nil {
 		return r
 	}
@@ -225,25 +228,22 @@
 			return Load{}, err
 		}
 	}
-	req, err := http.NewRequest(http.MethodGet, "http://"+addr.String()+"/load", http.NoBody)
-	if err != nil {
-		return Load{}, err
-	}
+	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(res)
+	req.SetRequestURI("/load")
+	req.Header.SetHost(addr.String())
+	req.Header.SetUserAgent(userAgent)
 	sent := d.now()
-	res, body, silent, err := c.exchange(ctx, req)
-	if err != nil {
+	if silent, err := c.exchange(ctx, req, res, 0); err != nil {
 		d.failed(ctx, p, c, sent, silent)
 		return Load{}, err
 	}
-	if res.Close {
-		p.retire(c, time.Time{})
-	} else {
-		p.put(c, d.now())
-	}
-	if res.StatusCode != http.StatusOK {
-		return Load{}, errors.Errorf("load endpoint answered %d", res.StatusCode)
+	d.give(p, c, res)
+	if res.StatusCode() != fasthttp.StatusOK {
+		return Load{}, errors.Errorf("load endpoint answered %d", res.StatusCode())
 	}
-	return parser.DecodeStrict[Load](body)
+	return parser.DecodeStrict[Load](res.Body())
 }
 
 // Alive reports whether the searcher answers a ping within the timeout.
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -394,3 +394,15 @@
 	}
 	return out
 }
+
+// Machine returns the callers' address of a VM and the id of its process, or 0 if it runs within this one.
+func (s *Stage) Machine(n int) (netip.AddrPort, int) {
+	m, err := s.machine(n)
+	switch {
+	case err != nil:
+		return netip.AddrPort{}, 0
+	case m.process == nil:
+		return m.settings.Listen.Callers, 0
+	}
+	return m.settings.Listen.Callers, m.process.Process.Pid
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	strict "github.com/go-json-experiment/json"
 	"github.com/tailscale/hujson"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -74,14 +75,9 @@
 }](b []byte,
 ) (T, error) {
 	var v T
-	d := json.NewDecoder(bytes.NewReader(b))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&v); err != nil {
+	if err := strict.Unmarshal(b, &v, strict.RejectUnknownMembers(true)); err != nil {
 		return v, err
 	}
-	if d.More() {
-		return v, Faults{{"wire", 1, 1, "text after the value"}}
-	}
 	if p := P(&v).Check(); len(p) > 0 {
 		return v, Faults{{"wire", 1, 1, p[0].Pointer + " " + p[0].Reason}}
 	}
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -159,6 +159,7 @@
 		Body:     r.req.Body,
 		Proven:   a.Purpose != gatherer.Primary,
 		Fresh:    a.Purpose == gatherer.Probe,
+		Linger:   r.req.View.Services[r.req.View.Searchers[a.Searcher].Service].Contract.SetUp.Duration,
 	}
 	go r.attempt(ctx, cancel, a, call)
 }
