Spend hedges where they matter, and find silence over many searchers

Hedging at the 0.9 quantile wanted 10 percent and had a budget of 5, so ordinary slowness had used up what stragglers needed. A lost failure domain left answers partial because refused connections cost retries.

--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -9,6 +9,8 @@
 	IdleLimit       = 30 * time.Second
 	ProveAfter      = 500 * time.Millisecond
 	ShrinkPeriod    = 5 * time.Second
+	SilenceWindow   = 500 * time.Millisecond
+	SilentSearchers = 2
 	writeBufferSize = 2 << 10
 	readBufferSize  = 8 << 10
 	userAgent       = "pistachiogap"
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -26,6 +26,7 @@
 	now     func() time.Time
 	dial    func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	retired func(addr netip.AddrPort, detail string)
+	silence silence
 }
 
 // Option changes a Dialer under construction.
@@ -88,7 +89,7 @@
 // Do sends a call on one connection and returns what came back; it never sends twice.
 func (d *Dialer) Do(ctx context.Context, call Call) Reply {
 	p := d.pool(call.Address)
-	c, err := p.take(ctx, d.now(), trustOf(call))
+	c, err := p.take(ctx, d.now(), d.silence.trustedSince(), trustOf(call))
 	if err != nil {
 		return Reply{Fault: gatherer.FaultNotSent}
 	}
@@ -145,6 +146,9 @@
 		since = c.lastRead.Add(1)
 	}
 	p.retire(c, since)
+	if p.answeredSince(sent) {
+		d.silence.found(p.addr, sent, d.now())
+	}
 	d.retired(p.addr, "no byte for "+d.now().Sub(sent).Round(time.Millisecond).String())
 	return gatherer.FaultSilent
 }
@@ -224,15 +228,19 @@
 	c := p.oldestIdle(d.now())
 	if c == nil {
 		var err error
-		if c, err = p.take(ctx, d.now(), anyIdle); err != nil {
+		if c, err = p.take(ctx, d.now(), d.silence.trustedSince(), anyIdle); err != nil {
 			return Load{}, err
 		}
 	}
+	return d.load(ctx, p, c)
+}
+
+func (d *Dialer) load(ctx context.Context, p *pool, c *conn) (Load, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	req.SetRequestURI("/load")
-	req.Header.SetHost(addr.String())
+	req.Header.SetHost(p.addr.String())
 	req.Header.SetUserAgent(userAgent)
 	sent := d.now()
 	if silent, err := c.exchange(ctx, req, res, 0); err != nil {
@@ -246,10 +254,32 @@
 	return parser.DecodeStrict[Load](res.Body())
 }
 
-// Alive reports whether the searcher answers a ping within the timeout.
-func (d *Dialer) Alive(ctx context.Context, addr netip.AddrPort, timeout time.Duration) bool {
-	_, err := d.Ping(ctx, addr, timeout)
-	return err == nil
+// Liveness is what a check of a searcher shows.
+type Liveness uint8
+
+// What a check shows: an answer, a refused or reset connection, or neither in time.
+const (
+	Unclear Liveness = iota
+	Alive
+	Dead
+)
+
+// Check asks the searcher's load endpoint on a new connection.
+func (d *Dialer) Check(ctx context.Context, addr netip.AddrPort, timeout time.Duration) Liveness {
+	p := d.pool(addr)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := p.take(ctx, d.now(), time.Time{}, newOnly)
+	if err == nil {
+		_, err = d.load(ctx, p, c)
+	}
+	switch {
+	case err == nil:
+		return Alive
+	case ctx.Err() != nil:
+		return Unclear
+	}
+	return Dead
 }
 
 // Trim applies the budgets, and drops the pools of searchers that keep does not name.
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -10,16 +10,17 @@
 
 // pool holds the connections of one VM to one searcher.
 type pool struct {
-	addr    netip.AddrPort
-	dial    func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-	mu      sync.Mutex
-	idle    []*conn
-	open    int
-	limit   int
-	shrunk  time.Time
-	waiters []chan grant
-	closed  bool
-	suspect time.Time
+	addr     netip.AddrPort
+	dial     func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	mu       sync.Mutex
+	idle     []*conn
+	open     int
+	limit    int
+	shrunk   time.Time
+	waiters  []chan grant
+	closed   bool
+	suspect  time.Time
+	answered time.Time
 }
 
 // grant hands a waiter an idle connection, or the right to open one.
@@ -34,9 +35,12 @@
 	newOnly          // none
 )
 
-// take returns a connection within the budget.
-func (p *pool) take(ctx context.Context, now time.Time, t trust) (*conn, error) {
+// take returns a connection within the budget; idle ones that were not read from since the trusted time are closed.
+func (p *pool) take(ctx context.Context, now, trusted time.Time, t trust) (*conn, error) {
 	p.mu.Lock()
+	if trusted.After(p.suspect) {
+		p.suspect = trusted
+	}
 	if c := p.takeIdle(now, t); c != nil {
 		p.mu.Unlock()
 		return c, nil
@@ -102,9 +106,12 @@
 
 // put gives a healthy connection to the first waiter, or keeps it.
 func (p *pool) put(c *conn, now time.Time) {
-	c.lastRead = now
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.lastRead = now
+	if now.After(p.answered) {
+		p.answered = now
+	}
 	if p.closed || p.open > p.budget(now) {
 		p.open--
 		_ = c.Close()
@@ -172,6 +179,13 @@
 	p.put(g.conn, g.conn.lastRead)
 }
 
+// answeredSince reports whether another connection was read from after the time.
+func (p *pool) answeredSince(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.answered.After(t)
+}
+
 // trim closes idle connections beyond the limit or idle for longer than IdleLimit, and returns whether one is left.
 func (p *pool) trim(now time.Time, limit int) bool {
 	p.mu.Lock()
--- a/faker/without.go
+++ b/faker/without.go
@@ -2,12 +2,14 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/pistachiogap/pistachiogap/configurer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/gossiper"
+	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/orderer"
 	"github.com/pistachiogap/pistachiogap/runner"
@@ -15,6 +17,16 @@
 	"github.com/pistachiogap/pistachiogap/ticketer"
 )
 
+const naiveTimeout = 30 * time.Millisecond
+
+func retriesOnly(p gatherer.Purpose, _, retries *limiter.Budget) bool {
+	return p == gatherer.Retry && retries.Spend()
+}
+
+func withoutLimit(gatherer.Purpose, *limiter.Budget, *limiter.Budget) bool { return true }
+
+func naiveDelay(time.Duration) time.Duration { return naiveTimeout }
+
 // Without returns the mechanisms of a VM with those switched off that a list separated by commas names.
 func Without(list string) (runner.Mechanisms, error) {
 	m := runner.AllOn()
@@ -34,9 +46,9 @@
 	case "hold":
 		m.Scatterer = append(m.Scatterer, scatterer.WithHold(func(bool) bool { return false }))
 	case "hedges":
-		m.Scatterer = append(m.Scatterer, scatterer.WithHedging(false))
-	case "retry-budget":
-		m.Scatterer = append(m.Scatterer, scatterer.WithRetryBudget(false))
+		m.Scatterer = append(m.Scatterer, scatterer.WithSpend(retriesOnly))
+	case "budgets":
+		m.Scatterer = append(m.Scatterer, scatterer.WithSpend(withoutLimit), scatterer.WithHedgeDelay(naiveDelay))
 	case "news":
 		m.TellNews = false
 	case "handover":
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -38,6 +38,16 @@
 	Documents uint64
 }
 
+// Verdict says whether a request itself crashes searchers.
+type Verdict uint8
+
+// The verdicts on the losses of a request.
+const (
+	Undecided Verdict = iota
+	Innocent
+	Poisonous
+)
+
 // EventKind tells the events of a query apart.
 type EventKind uint8
 
@@ -57,7 +67,7 @@
 	Attempt int32
 	Fault   Fault
 	Claim   Claim
-	Poison  bool
+	Verdict Verdict
 }
 
 // Purpose says why an attempt is sent.
@@ -69,9 +79,10 @@
 	Hedge
 	Retry
 	Probe
+	LateHedge
 )
 
-var purposeNames = [...]string{"primary", "hedge", "retry", "probe"}
+var purposeNames = [...]string{"primary", "hedge", "retry", "probe", "late-hedge"}
 
 // String returns the kebab-case name of the purpose.
 func (p Purpose) String() string { return purposeNames[p] }
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -52,6 +52,7 @@
 	tries   uint8
 	open    uint8
 	hedges  uint8
+	denied  bool
 	fault   Fault
 	tried   [MaxTries]int32
 	hedgeAt time.Time
@@ -79,6 +80,7 @@
 	lost         []int32
 	checked      int
 	notHeld      bool
+	notSent      int
 	cleared      bool
 	checking     bool
 	probes       int
@@ -114,7 +116,7 @@
 	case EventFault:
 		out = q.fail(now, ev.Attempt, ev.Fault, out)
 	case EventVerdict:
-		out = q.verdict(now, ev.Poison, out)
+		out = q.verdict(now, ev.Verdict, out)
 	case EventGone:
 		return q.finish(out)
 	}
@@ -214,6 +216,9 @@
 	if f == FaultNotHeld {
 		q.notHeld = true
 	}
+	if f == FaultNotSent {
+		q.notSent++
+	}
 	if f == FaultLost {
 		q.lost = append(q.lost, a.searcher)
 	}
@@ -232,7 +237,7 @@
 	if s.open > 0 {
 		return out
 	}
-	free := s.fault == FaultDraining || s.fault == FaultNotHeld
+	free := s.fault == FaultDraining || s.fault == FaultNotHeld || s.fault == FaultNotSent
 	if int(s.tries) >= MaxTries || (!free && !q.seams.Spend(now, Retry)) {
 		q.giveUp(shard)
 		return out
@@ -287,10 +292,14 @@
 		searcher, ok = s.tried[0], true
 	}
 	purpose := Hedge
-	if s.hedges > 0 {
+	switch {
+	case s.hedges > 0:
 		purpose = Probe
+	case s.denied:
+		purpose = LateHedge
 	}
 	if !ok || !q.seams.Spend(now, purpose) {
+		s.denied = true
 		return out
 	}
 	s.hedges++
@@ -308,13 +317,13 @@
 	return q.send(now, shard, s.tried[s.tries-1], Probe, out)
 }
 
-// verdict ends a query that crashes searchers; otherwise one held shard tries another replica, whose answer clears the rest.
-func (q *Query) verdict(now time.Time, poison bool, out []Action) []Action {
+// verdict ends a query that crashes searchers. If it is innocent, one held shard tries another replica, whose answer clears the rest; while it is undecided nothing is tried.
+func (q *Query) verdict(now time.Time, v Verdict, out []Action) []Action {
 	q.checking = false
-	if q.cleared {
+	if q.cleared || v == Undecided {
 		return out
 	}
-	if poison {
+	if v == Poisonous {
 		out = append(out, Action{Kind: ActionQuarantine})
 		return q.finish(out)
 	}
--- a/gatherer/result.go
+++ b/gatherer/result.go
@@ -32,8 +32,8 @@
 // Documents returns how many documents were searched and how many the snapshot has.
 func (q *Query) Documents() (searched, total uint64) { return q.documents, q.documentsAll }
 
-// Attempts returns how many attempts were sent and how many of them were the first of their shard.
-func (q *Query) Attempts() (sent, primaries int) { return len(q.attempts), q.primaries }
+// Attempts returns how many attempts found a connection, and how many were the first of their shard.
+func (q *Query) Attempts() (sent, primaries int) { return len(q.attempts) - q.notSent, q.primaries }
 
 // Lost returns the searchers on which an attempt ended by connection loss.
 func (q *Query) Lost() []int32 { return q.lost }
--- a/generator/generator.go
+++ b/generator/generator.go
@@ -10,10 +10,11 @@
 
 // How the weighing becomes a policy.
 const (
-	TailHedgeQuantile     = 0.9
-	CoverageHedgeQuantile = 0.95
-	TailPatienceShare     = 0.4
-	FirstSnapshot         = 1
+	TailHedgeUse      = 0.8
+	CoverageHedgeUse  = 0.5
+	MinHedgeTail      = 0.001
+	TailPatienceShare = 0.4
+	FirstSnapshot     = 1
 )
 
 // Explanation says which answer a generated value came from, and why.
@@ -103,17 +104,17 @@
 		HedgeShare: t.ExtraLoad, RetryShare: t.ExtraLoad,
 	}
 	if g.q.Weighing == modeler.WeighTail {
-		p.HedgeQuantile = TailHedgeQuantile
+		p.HedgeQuantile = 1 - max(MinHedgeTail, min(TailHedgeUse, TailHedgeUse*t.ExtraLoad))
 		p.Patience = modeler.Duration{Duration: time.Duration(float64(t.Deadline.Duration) * TailPatienceShare)}
 	} else {
-		p.HedgeQuantile = CoverageHedgeQuantile
+		p.HedgeQuantile = 1 - max(MinHedgeTail, CoverageHedgeUse*t.ExtraLoad)
 		p.Patience = t.Deadline
 	}
 	at := "/indexes/*/policy"
 	g.explain(at+"/deadline", p.Deadline.Duration, "/tolerances/deadline", "no search waits longer")
 	g.explain(at+"/least-coverage", p.LeastCoverage, "/tolerances/least-coverage", "a search that has this much may end after its patience")
 	g.explain(at+"/patience", p.Patience.Duration, "/weighing", "tail latency ends a search early, coverage waits for the last shards until the deadline")
-	g.explain(at+"/hedge-quantile", p.HedgeQuantile, "/weighing", "a shard slower than this part of its service's recent answers is asked again")
+	g.explain(at+"/hedge-quantile", p.HedgeQuantile, "/tolerances/extra-load and /weighing", "a shard slower than this part of its service's recent answers is asked again; ordinary slowness stays within the extra load, so that some is left for a straggler")
 	g.explain(at+"/hedge-share", p.HedgeShare, "/tolerances/extra-load", "hedges stay below this part of the primary load")
 	g.explain(at+"/retry-share", p.RetryShare, "/tolerances/extra-load", "retries stay below this part of the primary load")
 	return p
--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -4,7 +4,7 @@
 
 // Bounds of the budgets.
 const (
-	MinBurst           = 100
+	MinBurst           = 40
 	ConnectionHeadroom = 0.9
 	MinConcurrency     = 4
 	InitialConcurrency = 64
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -6,6 +6,9 @@
 const (
 	InitialLatency   = 2 * time.Millisecond
 	LatencyWeight    = 0.2
+	PeakFactor       = 3.0
+	CensoredFactor   = 2.0
+	ForgetLatency    = 10 * time.Second
 	EjectAfter       = 3
 	EjectBase        = 500 * time.Millisecond
 	EjectMax         = 10 * time.Second
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +14,7 @@
 	mu       sync.Mutex
 	inflight int
 	latency  float64
+	learned  time.Time
 	failures int
 	ejected  time.Time
 	ejects   int
@@ -32,32 +34,32 @@
 }
 
 // Answered ends an attempt that was answered after the latency.
-func (s *Searcher) Answered(latency time.Duration) {
+func (s *Searcher) Answered(now time.Time, latency time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight--
 	s.failures = 0
 	s.ejects = 0
-	s.learn(latency)
+	s.learn(now, float64(latency))
 }
 
-// Cancelled ends an attempt that was given up after the time; the searcher is at least that slow.
-func (s *Searcher) Cancelled(after time.Duration) {
+// Cancelled ends an attempt that was given up after the time; the searcher is slower than that.
+func (s *Searcher) Cancelled(now time.Time, after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight--
-	if float64(after) > s.latency {
-		s.learn(after)
+	if slow := CensoredFactor * float64(after); slow > s.latency {
+		s.latency, s.learned = slow, now
 	}
 }
 
-// Failed ends an attempt that failed; EjectAfter in a row eject the searcher for a time that doubles.
-func (s *Searcher) Failed(now time.Time) {
+// Failed ends an attempt that failed; EjectAfter in a row, or one that found no connection, eject the searcher for a time that doubles.
+func (s *Searcher) Failed(now time.Time, unreachable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight--
 	s.failures++
-	if s.failures < EjectAfter {
+	if s.failures < EjectAfter && !unreachable {
 		return
 	}
 	s.failures = 0
@@ -139,7 +141,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	queue := 1 + float64(s.inflight)/float64(max(1, slots))
-	cost := s.latency*queue + float64(link)
+	cost := s.expected(now)*queue + float64(link)
 	if warm := now.Sub(s.cold); warm >= 0 && warm < SlowStart {
 		cost *= ColdPenalty - (ColdPenalty-1)*float64(warm)/float64(SlowStart)
 	}
@@ -166,6 +168,18 @@
 	return State{s.inflight, modeler.Duration{Duration: time.Duration(s.latency)}, now.Before(s.draining), now.Before(s.ejected), held}
 }
 
-func (s *Searcher) learn(latency time.Duration) {
-	s.latency += LatencyWeight * (float64(latency) - s.latency)
+// learn takes a much slower answer at once and others by their weight.
+func (s *Searcher) learn(now time.Time, latency float64) {
+	if latency > PeakFactor*s.latency {
+		s.latency = latency
+	} else {
+		s.latency += LatencyWeight * (latency - s.latency)
+	}
+	s.learned = now
+}
+
+// expected returns the latency, which is forgotten while nothing is learned, so that a searcher that was slow is tried again.
+func (s *Searcher) expected(now time.Time) float64 {
+	idle := max(0, now.Sub(s.learned))
+	return float64(InitialLatency) + (s.latency-float64(InitialLatency))*math.Exp(-float64(idle)/float64(ForgetLatency))
 }
--- a/relayer/relayed.go
+++ b/relayer/relayed.go
@@ -48,7 +48,7 @@
 	r.ends = make(chan partEnd, gatherer.MaxTries*len(r.parts))
 	r.taken = make([]*scatterer.Result, len(r.parts))
 	policy := req.Index.Policy
-	r.hedges, _ = s.scatterer.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, 2*len(req.Snapshot.Shards))
+	r.hedges, _ = s.scatterer.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, len(req.Snapshot.Shards))
 	plan := gatherer.Plan{
 		Request: req.ID, Snapshot: req.Snapshot.ID, Deadline: req.Deadline, Patience: req.Deadline, LeastCoverage: 1,
 		Shards: make([]gatherer.Shard, len(r.parts)),
@@ -141,7 +141,7 @@
 			r.stop()
 		}
 	case gatherer.ActionCheck:
-		r.ends <- partEnd{event: gatherer.Event{Kind: gatherer.EventVerdict}}
+		r.ends <- partEnd{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: gatherer.Innocent}}
 	}
 }
 
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -73,7 +73,7 @@
 	now := time.Now()
 	if err != nil {
 		s.Belief.Begin()
-		s.Belief.Failed(now)
+		s.Belief.Failed(now, false)
 		return
 	}
 	for index, ids := range load.Held {
--- /dev/null
+++ b/scatterer/judge.go
@@ -0,0 +1,69 @@
+package scatterer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/planner"
+)
+
+// Judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which searchers that it never reached are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if such searchers are dead, and undecided if they do not answer in time.
+func (s *Scatterer) Judge(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) gatherer.Verdict {
+	if first := s.judgeOnce(ctx, v, lost, reached); first != gatherer.Poisonous {
+		return first
+	}
+	t := time.NewTimer(RecheckAfter)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return gatherer.Undecided
+	}
+	return s.judgeOnce(ctx, v, lost, reached)
+}
+
+func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) gatherer.Verdict {
+	losses := map[int32]int{}
+	for _, r := range lost {
+		losses[v.Searchers[r].Domain]++
+	}
+	inLive, inDead := 0, 0
+	for domain, n := range losses {
+		switch s.domain(ctx, v, domain, reached) {
+		case dialer.Alive:
+			inLive += n
+		case dialer.Dead:
+			inDead += n
+		}
+	}
+	switch {
+	case inLive >= gatherer.PoisonLosses:
+		return gatherer.Poisonous
+	case inDead > 0:
+		return gatherer.Innocent
+	}
+	return gatherer.Undecided
+}
+
+// domain asks a few searchers of a failure domain that the request never reached, and returns what most of them are.
+func (s *Scatterer) domain(ctx context.Context, v *planner.View, domain int32, reached func(int32) bool) dialer.Liveness {
+	count := map[dialer.Liveness]int{}
+	asked := 0
+	offset := s.random(len(v.Searchers))
+	for i := range v.Searchers {
+		n := int32((i + offset) % len(v.Searchers))
+		if asked == Bystanders || v.Searchers[n].Domain != domain || reached(n) {
+			continue
+		}
+		asked++
+		count[s.Dialer.Check(ctx, v.Searchers[n].Address, CheckTimeout)]++
+	}
+	for _, l := range []dialer.Liveness{dialer.Alive, dialer.Dead} {
+		if 2*count[l] > asked {
+			return l
+		}
+	}
+	return dialer.Unclear
+}
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -54,7 +54,7 @@
 		sampled: s.Recorder.Sampled(req.ID),
 	}
 	policy := req.Index.Policy
-	r.hedges, r.retries = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, 2*len(req.Snapshot.Shards))
+	r.hedges, r.retries = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, len(req.Snapshot.Shards))
 	plan := r.plan()
 	r.query = gatherer.NewQuery(plan, gatherer.Seams{
 		Pick:       r.picker.Pick,
@@ -89,10 +89,7 @@
 }
 
 func (r *run) spend(_ time.Time, p gatherer.Purpose) bool {
-	if p == gatherer.Hedge {
-		return r.s.hedging && r.hedges.Spend()
-	}
-	return !r.s.onRetries || r.retries.Spend()
+	return r.s.spend(p, r.hedges, r.retries)
 }
 
 func (r *run) hedgeAfter(shard int32) time.Duration {
@@ -100,7 +97,7 @@
 	if n < 0 {
 		return observer.InitialHedge
 	}
-	return r.req.View.Services[n].Belief.HedgeDelay(r.s.now(), r.req.Index.Policy.HedgeQuantile)
+	return r.s.hedgeAt(r.req.View.Services[n].Belief.HedgeDelay(r.s.now(), r.req.Index.Policy.HedgeQuantile))
 }
 
 // loop runs the query until it is done.
@@ -221,7 +218,7 @@
 	}
 	switch {
 	case e.event.Kind == gatherer.EventAnswer:
-		b.Answered(took)
+		b.Answered(now, took)
 		r.req.View.Services[searcher.Service].Belief.Record(took)
 		if !e.reply.Draining {
 			b.Returned(now)
@@ -232,9 +229,9 @@
 		}
 		b.Ended()
 	case ctx.Err() != nil:
-		b.Cancelled(took)
+		b.Cancelled(now, took)
 	case e.event.Fault == gatherer.FaultLost, e.event.Fault == gatherer.FaultNotSent && !e.reply.Late, e.event.Fault == gatherer.FaultSilent:
-		b.Failed(now)
+		b.Failed(now, e.event.Fault == gatherer.FaultNotSent)
 	default:
 		b.Ended()
 	}
@@ -248,9 +245,9 @@
 		reached[k] = true
 	}
 	go func() {
-		poison := r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return reached[n] })
+		verdict := r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return reached[n] })
 		select {
-		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Poison: poison}}:
+		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: verdict}}:
 		case <-ctx.Done():
 		}
 	}()
@@ -264,7 +261,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
 	defer cancel()
-	if r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return r.reached[n] }) {
+	if r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return r.reached[n] }) == gatherer.Poisonous {
 		r.quarantine()
 	}
 }
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -30,8 +30,8 @@
 	matches   func(want, got gatherer.Claim) bool
 	draining  func(*planner.Searcher)
 	poisoned  func(observer.Fingerprint, time.Time)
-	hedging   bool
-	onRetries bool
+	spend     func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
+	hedgeAt   func(learned time.Duration) time.Duration
 }
 
 // Option changes a Scatterer under construction.
@@ -59,11 +59,26 @@
 	return func(s *Scatterer) { s.poisoned = f }
 }
 
-// WithHedging switches hedges on or off.
-func WithHedging(on bool) Option { return func(s *Scatterer) { s.hedging = on } }
+// WithSpend sets the rule that allows or denies an extra attempt.
+func WithSpend(f func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool) Option {
+	return func(s *Scatterer) { s.spend = f }
+}
+
+// WithHedgeDelay sets the hedge delay from the one that was learned.
+func WithHedgeDelay(f func(learned time.Duration) time.Duration) Option {
+	return func(s *Scatterer) { s.hedgeAt = f }
+}
 
-// WithRetryBudget switches the bound on retries on or off.
-func WithRetryBudget(on bool) Option { return func(s *Scatterer) { s.onRetries = on } }
+// SpendBudgets takes hedges and retries from their own budgets; the last half of the hedges is left to shards that are late by more than one hedge delay.
+func SpendBudgets(p gatherer.Purpose, hedges, retries *limiter.Budget) bool {
+	switch p {
+	case gatherer.Hedge:
+		return hedges.SpendAboveHalf()
+	case gatherer.LateHedge:
+		return hedges.Spend()
+	}
+	return retries.Spend()
+}
 
 // NewScatterer makes a scatterer over the shared state of one VM.
 func NewScatterer(d *dialer.Dialer, o *observer.Observer, q *observer.Quarantine, r *recorder.Recorder, options ...Option) *Scatterer {
@@ -76,8 +91,8 @@
 		matches:   gatherer.MatchesExactly,
 		draining:  func(*planner.Searcher) {},
 		poisoned:  func(observer.Fingerprint, time.Time) {},
-		hedging:   true,
-		onRetries: true,
+		spend:     SpendBudgets,
+		hedgeAt:   func(learned time.Duration) time.Duration { return learned },
 	}
 	for _, o := range options {
 		o(s)
@@ -126,49 +141,3 @@
 	r.judgeLate(ctx)
 	return r.result()
 }
-
-// Judge reports whether the losses of a request are its own doing: at least PoisonLosses of them happened in failure domains in which searchers that it never reached are alive, now and RecheckAfter later, for a failure domain does not die all at once.
-func (s *Scatterer) Judge(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) bool {
-	if !s.aliveAround(ctx, v, lost, reached) {
-		return false
-	}
-	t := time.NewTimer(RecheckAfter)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return s.aliveAround(ctx, v, lost, reached)
-}
-
-func (s *Scatterer) aliveAround(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) bool {
-	losses := map[int32]int{}
-	for _, r := range lost {
-		losses[v.Searchers[r].Domain]++
-	}
-	inLiveDomains := 0
-	for domain, n := range losses {
-		if s.domainAlive(ctx, v, domain, reached) {
-			inLiveDomains += n
-		}
-	}
-	return inLiveDomains >= gatherer.PoisonLosses
-}
-
-// domainAlive asks a few searchers of a failure domain that the request never reached; most of them must answer.
-func (s *Scatterer) domainAlive(ctx context.Context, v *planner.View, domain int32, reached func(int32) bool) bool {
-	asked, alive := 0, 0
-	offset := s.random(len(v.Searchers))
-	for i := range v.Searchers {
-		n := int32((i + offset) % len(v.Searchers))
-		if asked == Bystanders || v.Searchers[n].Domain != domain || reached(n) {
-			continue
-		}
-		asked++
-		if s.Dialer.Alive(ctx, v.Searchers[n].Address, CheckTimeout) {
-			alive++
-		}
-	}
-	return 2*alive > asked
-}
