--- /dev/null
+++ b/configurer/store_test.go
@@ -0,0 +1,175 @@
+package configurer
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var now = time.Unix(1_800_000_000, 0)
+
+func value(key string, rev int, team string) Value {
+	return Value{key, modeler.Revision(rev), []byte(fmt.Sprintf(`{"teams": [{"name": %q, "share": 0.5}]}`, team))}
+}
+
+func TestStore(t *testing.T) {
+	broken := Value{"a", 5, []byte(`{"teams": [{"name": "?"}]}`)}
+	tests := []struct {
+		name    string
+		offers  []Value
+		team    string
+		refused int
+		newer   func(offered, held modeler.Revision) bool
+	}{
+		{name: "later wins", offers: []Value{value("a", 1, "one"), value("a", 2, "two")}, team: "two"},
+		{name: "earlier is ignored", offers: []Value{value("a", 2, "two"), value("a", 1, "one")}, team: "two"},
+		{name: "refused leaves the last accepted", offers: []Value{value("a", 4, "four"), broken}, team: "four", refused: 1},
+		{name: "accepted after refused clears it", offers: []Value{value("a", 4, "four"), broken, value("a", 6, "six")}, team: "six"},
+		{name: "accepted before a refused one arrives late", offers: []Value{broken, value("a", 4, "four")}, team: "four", refused: 1},
+		{
+			name: "without the order it goes back", offers: []Value{value("a", 2, "two"), value("a", 1, "one")}, team: "one",
+			newer: func(offered, held modeler.Revision) bool { return offered != held },
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var options []Option
+			if tt.newer != nil {
+				options = append(options, WithOrder(tt.newer))
+			}
+			s := NewStore(options...)
+			for _, v := range tt.offers {
+				s.Offer(now, v.Revision, []Value{v})
+			}
+			_, in := s.InForce()
+			if got := string(in[0].Teams[0].Name); got != tt.team {
+				t.Errorf("team %q is in force, not %q", got, tt.team)
+			}
+			if got := len(s.State().Refused); got != tt.refused {
+				t.Errorf("%d refusals stand, not %d", got, tt.refused)
+			}
+		})
+	}
+}
+
+func TestStoresAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var all []Value
+		for rev := 1; rev <= rapid.IntRange(1, 20).Draw(t, "values"); rev++ {
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			v := value(key, rev, fmt.Sprintf("team-%d", rev))
+			if rapid.IntRange(0, 3).Draw(t, "broken") == 0 {
+				v.Text = []byte("{")
+			}
+			all = append(all, v)
+		}
+		want := NewStore()
+		want.Offer(now, all[len(all)-1].Revision, all)
+		direct, peer := NewStore(), NewStore()
+		var highest modeler.Revision
+		for _, i := range rapid.Permutation(slices.Collect(indexes(len(all)))).Draw(t, "order") {
+			direct.Offer(now, 0, all[i:i+1])
+			head, values := direct.Delta(peer.Head())
+			peer.Offer(now, head, values)
+			if st := peer.State(); st.Revision < highest {
+				t.Fatalf("revision went back from %d to %d", highest, st.Revision)
+			}
+			highest = max(highest, peer.State().Revision)
+		}
+		for _, s := range []*Store{direct, peer} {
+			if s.State().Digest != want.State().Digest || len(s.State().Refused) != len(want.State().Refused) {
+				t.Fatalf("stores differ: %+v and %+v", s.State(), want.State())
+			}
+		}
+	})
+}
+
+func indexes(n int) func(func(int) bool) {
+	return func(yield func(int) bool) {
+		for i := range n {
+			if !yield(i) {
+				return
+			}
+		}
+	}
+}
+
+func TestReads(t *testing.T) {
+	const reads = 2000
+	for _, n := range []int{9, 300, 3100} {
+		perSecond := float64(n) / PollPeriod(n).Seconds()
+		if perSecond > FleetPollRate+1 {
+			t.Errorf("%d VMs read %.0f times a second", n, perSecond)
+		}
+	}
+	if FleetPollRate > reads/10 {
+		t.Error("polls take more than a tenth of the platform's reads")
+	}
+	for n := range 100 {
+		if b := Backoff(n, 1); b > MaxBackoff {
+			t.Errorf("backoff of %s after %d failures", b, n)
+		}
+	}
+}
+
+func TestReadersPerDomain(t *testing.T) {
+	var vms []modeler.VMName
+	for i := range 300 {
+		vms = append(vms, modeler.VMName(fmt.Sprintf("entry-%d", i)))
+	}
+	readers := 0
+	for _, v := range vms {
+		if IsReader(v, "seoul", vms) {
+			readers++
+		}
+	}
+	if readers != ReadersPerDomain {
+		t.Errorf("%d readers in a failure domain", readers)
+	}
+}
+
+// BenchmarkChange measures one configuration change of one team: parsing and taking it in.
+func BenchmarkChange(b *testing.B) {
+	for _, searchers := range []int{85, 850, 8500} {
+		b.Run(fmt.Sprintf("searchers-%d", searchers), func(b *testing.B) {
+			text := []byte(`{"services": [`)
+			for i := range searchers / 3 {
+				if i > 0 {
+					text = append(text, ',')
+				}
+				text = fmt.Appendf(text, `{"name":"s-%d","team":"t","contract":{"slots":2,"connections":25,"set-up":"6ms"},"searchers":[`, i)
+				for k := range 3 {
+					if k > 0 {
+						text = append(text, ',')
+					}
+					text = fmt.Appendf(text, `{"name":"s-%d-%d","address":"10.%d.%d.%d:70","failure-domain":"d"}`, i, k, k, i/250, i%250)
+				}
+				text = append(text, "]}"...)
+			}
+			text = append(text, "]}"...)
+			b.ReportMetric(float64(len(text)), "bytes")
+			s := NewStore()
+			rev := modeler.Revision(0)
+			for b.Loop() {
+				rev++
+				if refused, _ := s.Offer(now, rev, []Value{{"k", rev, text}}); len(refused) > 0 {
+					b.Fatal(refused)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/planner/planner_test.go
@@ -0,0 +1,188 @@
+package planner
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func configuration(services, shards int) modeler.Configuration {
+	c := modeler.Configuration{Teams: []modeler.Team{{Name: "t", Urgent: []modeler.IndexName{"x"}}}}
+	addr := netip.MustParseAddr("10.0.0.1")
+	for i := range services {
+		s := modeler.Service{Name: modeler.ServiceName(fmt.Sprintf("s-%04d", i)), Team: "t", Contract: modeler.Contract{Slots: 2, Connections: 25}}
+		for k := range 3 {
+			s.Searchers = append(s.Searchers, modeler.Searcher{
+				Name:    modeler.SearcherName(fmt.Sprintf("s-%04d-%d", i, k)),
+				Address: netip.AddrPortFrom(addr, 7000), FailureDomain: modeler.FailureDomain(fmt.Sprintf("d-%d", k)),
+			})
+			addr = addr.Next()
+		}
+		c.Services = append(c.Services, s)
+	}
+	for id := modeler.SnapshotID(1); id <= 2; id++ {
+		s := modeler.Snapshot{ID: id}
+		for i := range shards {
+			s.Shards = append(s.Shards, modeler.Shard{Name: modeler.ShardName(fmt.Sprintf("h-%d", i)), Service: c.Services[i%services].Name, Documents: 10})
+		}
+		if id == 1 {
+			c.Indexes = []modeler.Index{{Name: "x", Team: "t"}}
+		}
+		c.Indexes[0].Snapshots = append(c.Indexes[0].Snapshots, s)
+	}
+	return c
+}
+
+func view(services, shards int) (*View, *Index, *observer.Observer) {
+	o := observer.NewObserver()
+	v := NewView(1, "d-0", nil, []modeler.Configuration{configuration(services, shards)}, o)
+	x, _ := v.Index("x")
+	return v, x, o
+}
+
+func TestPin(t *testing.T) {
+	v, x, o := view(2, 4)
+	hold := func(r int, ids ...modeler.SnapshotID) { v.Searchers[r].Belief.Holds("x", ids) }
+	pin := func() modeler.SnapshotID { return v.Pin(x, epoch, o.Generation(), 0).ID }
+	if got := pin(); got != 2 {
+		t.Errorf("knowing nothing, %d is pinned, not the newest", got)
+	}
+	for r := range 6 {
+		hold(r, 1)
+	}
+	if got := pin(); got != 1 {
+		t.Errorf("while nobody holds 2, %d is pinned", got)
+	}
+	hold(0, 1, 2)
+	if got := pin(); got != 1 {
+		t.Errorf("while one service lacks 2, %d is pinned", got)
+	}
+	hold(4, 2)
+	if got := pin(); got != 2 {
+		t.Errorf("with a holder in each service, %d is pinned, not 2", got)
+	}
+	if got := v.Pin(x, epoch, o.Generation(), 2); got != nil {
+		t.Errorf("after 2 there is %d", got.ID)
+	}
+}
+
+func TestPick(t *testing.T) {
+	tests := []struct {
+		name    string
+		change  func(v *View)
+		tried   []int32
+		allowed []int32
+	}{
+		{name: "any replica", allowed: []int32{0, 1, 2}},
+		{name: "never a tried one", tried: []int32{0, 2}, allowed: []int32{1}},
+		{name: "none left", tried: []int32{0, 1, 2}},
+		{name: "never one that drains", change: func(v *View) { v.Searchers[1].Belief.Drain(epoch) }, tried: []int32{0}, allowed: []int32{2}},
+		{name: "never one that lacks the snapshot", change: func(v *View) { v.Searchers[0].Belief.Holds("x", []modeler.SnapshotID{1}) }, allowed: []int32{1, 2}},
+		{name: "not an ejected one", change: func(v *View) { eject(v, 0) }, allowed: []int32{1, 2}},
+		{name: "ejection is bounded", change: func(v *View) { eject(v, 0); eject(v, 1) }, allowed: []int32{0, 1, 2}},
+		{name: "the slow one never wins a pair", change: func(v *View) {
+			v.Searchers[0].Belief.Begin()
+			v.Searchers[0].Belief.Answered(epoch, time.Second)
+		}, allowed: []int32{1, 2}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v, x, _ := view(1, 1)
+			if tt.change != nil {
+				tt.change(v)
+			}
+			turn := 0
+			p := Picker{View: v, Index: "x", Snapshot: &x.Snapshots[1], Random: func(n int) int {
+				turn++
+				return turn * 7 % n
+			}}
+			var got []int32
+			for range 30 {
+				if r, ok := p.Pick(epoch, 0, tt.tried); ok && !slices.Contains(got, r) {
+					got = append(got, r)
+				}
+			}
+			slices.Sort(got)
+			for _, r := range got {
+				if !slices.Contains(tt.allowed, r) {
+					t.Errorf("picked %v, allowed are %v", got, tt.allowed)
+				}
+			}
+			if (len(got) == 0) != (len(tt.allowed) == 0) {
+				t.Errorf("picked %v, allowed are %v", got, tt.allowed)
+			}
+		})
+	}
+}
+
+func eject(v *View, r int) {
+	v.Searchers[r].Belief.Begin()
+	v.Searchers[r].Belief.Failed(epoch, true)
+}
+
+func TestRankMovesLittle(t *testing.T) {
+	var vms []modeler.VMName
+	for i := range 100 {
+		vms = append(vms, modeler.VMName(fmt.Sprintf("entry-%d", i)))
+	}
+	moved := 0
+	const keys = 500
+	for k := range keys {
+		key := fmt.Sprintf("bucket-%d", k)
+		before := Rank(key, vms, 3)
+		after := Rank(key, vms[:99], 3)
+		for _, v := range before {
+			if v != vms[99] && !slices.Contains(after, v) {
+				t.Errorf("%s lost owner %s, which is still alive", key, v)
+			}
+		}
+		if slices.Contains(before, vms[99]) {
+			moved++
+		}
+	}
+	if share := float64(moved) / keys; share > 0.06 {
+		t.Errorf("one lost VM of 100 moved %.3f of the keys with 3 owners", share)
+	}
+}
+
+// BenchmarkView measures building the view and its memory for a searcher.
+func BenchmarkView(b *testing.B) {
+	for _, services := range []int{28, 2533, 25333} {
+		b.Run(fmt.Sprintf("searchers-%d", 3*services), func(b *testing.B) {
+			c := configuration(services, 1000)
+			o := observer.NewObserver()
+			var v *View
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			v = NewView(1, "d-0", nil, []modeler.Configuration{c}, o)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				v = NewView(1, "d-0", nil, []modeler.Configuration{c}, o)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(v.Searchers)), "bytes/searcher")
+		})
+	}
+}
+
+// BenchmarkPlan measures pinning and picking for one query over 1,000 shards.
+func BenchmarkPlan(b *testing.B) {
+	v, x, o := view(1000, 1000)
+	p := Picker{View: v, Index: "x", Snapshot: &x.Snapshots[1], Random: func(n int) int { return n / 2 }}
+	for b.Loop() {
+		v.Pin(x, epoch, o.Generation(), 0)
+		for shard := range int32(1000) {
+			p.Pick(epoch, shard, nil)
+		}
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*1000), "ns/shard")
+}
