Close the connection of a body that never ends

Cause: the new test of a caller whose body never ends hung: after the refusal net/http looked for the end of the body without a time limit, since the limit had been taken away. Ruled out: the refusal itself (it was written). Change: the limit stands and the connection is closed.

--- /dev/null
+++ b/dialer/dialer_test.go
@@ -0,0 +1,310 @@
+package dialer
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// upstream accepts connections and treats each request as the test says; treat returns whether the connection goes on.
+type upstream struct {
+	addr     netip.AddrPort
+	listener net.Listener
+	mu       sync.Mutex
+	open     int
+	most     int
+	requests atomic.Int64
+	conns    []net.Conn
+	wg       sync.WaitGroup
+}
+
+func startUpstream(t *testing.T, treat func(c net.Conn, n int64) bool) *upstream {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u := &upstream{addr: l.Addr().(*net.TCPAddr).AddrPort(), listener: l}
+	u.wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			u.count(1, c)
+			u.wg.Go(func() {
+				defer u.count(-1, nil)
+				defer func() { _ = c.Close() }()
+				u.serve(c, treat)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		u.closeAll()
+		u.wg.Wait()
+	})
+	return u
+}
+
+func (u *upstream) count(n int, c net.Conn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.open += n
+	u.most = max(u.most, u.open)
+	if c != nil {
+		u.conns = append(u.conns, c)
+	}
+}
+
+func (u *upstream) closeAll() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.conns {
+		_ = c.Close()
+	}
+}
+
+func (u *upstream) serve(c net.Conn, treat func(net.Conn, int64) bool) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		if !treat(c, u.requests.Add(1)) {
+			return
+		}
+	}
+}
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func answers(c net.Conn, _ int64) bool {
+	_, err := io.WriteString(c, okAnswer)
+	return err == nil
+}
+
+func newTestDialer(t *testing.T, budget int) *Dialer {
+	t.Helper()
+	d := NewDialer(netip.MustParseAddr("127.0.0.1"), WithBudget(func(netip.AddrPort) int { return budget }))
+	t.Cleanup(d.Close)
+	return d
+}
+
+func call(u *upstream) Call {
+	return Call{Address: u.addr, Path: "/v1/order", Request: "r", Attempt: "r.0", Deadline: time.Now().Add(time.Minute), Body: []byte("{}")}
+}
+
+func TestDoNeverSendsTwice(t *testing.T) {
+	u := startUpstream(t, func(c net.Conn, n int64) bool { return n == 1 && answers(c, n) })
+	d := newTestDialer(t, 2)
+	if r := d.Do(t.Context(), call(u)); r.Fault != gatherer.FaultNone {
+		t.Fatalf("first call: %s", r.Fault)
+	}
+	if r := d.Do(t.Context(), call(u)); r.Fault != gatherer.FaultLost {
+		t.Errorf("a connection that closes after the whole request: %s, not lost", r.Fault)
+	}
+	if n := u.requests.Load(); n != 2 {
+		t.Errorf("two calls sent %d requests", n)
+	}
+}
+
+func TestDoLeavesStaleConnections(t *testing.T) {
+	u := startUpstream(t, answers)
+	d := newTestDialer(t, 2)
+	d.Do(t.Context(), call(u))
+	u.closeAll()
+	for p := d.pool(u.addr); ; time.Sleep(time.Millisecond) {
+		p.mu.Lock()
+		stale := p.idle[0].stale()
+		p.mu.Unlock()
+		if stale {
+			break
+		}
+	}
+	if r := d.Do(t.Context(), call(u)); r.Fault != gatherer.FaultNone {
+		t.Errorf("call after the idle connection was closed: %s", r.Fault)
+	}
+}
+
+func TestDoRetiresSilentConnections(t *testing.T) {
+	told := make(chan string, 1)
+	u := startUpstream(t, func(c net.Conn, n int64) bool { return n > 1 && answers(c, n) || n == 1 })
+	d := newTestDialer(t, 1)
+	d.retired = func(_ netip.AddrPort, detail string) { told <- detail }
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if r := d.Do(ctx, call(u)); r.Fault != gatherer.FaultSilent {
+		t.Errorf("a silent connection: %s", r.Fault)
+	}
+	<-told
+	if r := d.Do(t.Context(), call(u)); r.Fault != gatherer.FaultNone {
+		t.Errorf("the call after it, on a new connection: %s", r.Fault)
+	}
+}
+
+func TestDoLingersForANearAnswer(t *testing.T) {
+	for _, linger := range []time.Duration{10 * time.Second, 0} {
+		release := make(chan struct{})
+		u := startUpstream(t, func(c net.Conn, n int64) bool {
+			if n == 1 {
+				<-release
+			}
+			return answers(c, n)
+		})
+		d := newTestDialer(t, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan Reply, 1)
+		go func() {
+			c := call(u)
+			c.Linger = linger
+			done <- d.Do(ctx, c)
+		}()
+		for u.requests.Load() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+		if linger > 0 {
+			close(release)
+		}
+		<-done
+		if open, _ := d.Open(); (open == 1) != (linger > 0) {
+			t.Errorf("linger %s: %d connections are left", linger, open)
+		}
+		if linger == 0 {
+			close(release)
+		}
+	}
+}
+
+func TestDoKeepsTheBudget(t *testing.T) {
+	u := startUpstream(t, answers)
+	d := newTestDialer(t, 3)
+	var wg sync.WaitGroup
+	for i := range 60 {
+		wg.Go(func() {
+			c := call(u)
+			c.Fresh = i%3 == 0
+			if r := d.Do(t.Context(), c); r.Fault != gatherer.FaultNone {
+				t.Errorf("call: %s", r.Fault)
+			}
+		})
+	}
+	wg.Wait()
+	if open, waiting := d.Open(); open > 3 || waiting != 0 {
+		t.Errorf("%d connections open, %d calls in line", open, waiting)
+	}
+}
+
+func TestDoReadsRefusals(t *testing.T) {
+	tests := []struct {
+		status int
+		body   string
+		want   gatherer.Fault
+	}{
+		{503, `{"kind":"draining"}`, gatherer.FaultDraining},
+		{503, `{"kind":"shedding"}`, gatherer.FaultShed},
+		{503, `{"kind":"deadline-passed"}`, gatherer.FaultShed},
+		{409, `{"kind":"snapshot-not-held"}`, gatherer.FaultNotHeld},
+		{503, `{"kind":"connection-limit"}`, gatherer.FaultNotSent},
+		{500, `oops`, gatherer.FaultRejected},
+	}
+	for _, tt := range tests {
+		u := startUpstream(t, func(c net.Conn, _ int64) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", tt.status, len(tt.body), tt.body)
+			return err == nil
+		})
+		if r := newTestDialer(t, 1).Do(t.Context(), call(u)); r.Fault != tt.want {
+			t.Errorf("%d %s: %s, not %s", tt.status, tt.body, r.Fault, tt.want)
+		}
+	}
+}
+
+func TestCheck(t *testing.T) {
+	u := startUpstream(t, func(c net.Conn, _ int64) bool {
+		body := `{"in-flight":0,"slots":1,"draining":false,"snapshots-held":{}}`
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return err == nil
+	})
+	d := newTestDialer(t, 2)
+	if l := d.Check(t.Context(), u.addr, time.Minute); l != Alive {
+		t.Errorf("an answering searcher is %d", l)
+	}
+	_ = u.listener.Close()
+	u.closeAll()
+	if l := d.Check(t.Context(), u.addr, time.Minute); l != Dead {
+		t.Errorf("a refusing searcher is %d", l)
+	}
+	silent := startUpstream(t, func(net.Conn, int64) bool { return true })
+	if l := d.Check(t.Context(), silent.addr, 20*time.Millisecond); l != Unclear {
+		t.Errorf("a silent searcher is %d", l)
+	}
+}
+
+func TestSilenceOverSearchers(t *testing.T) {
+	var s silence
+	start := time.Unix(1_800_000_000, 0)
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	s.found(a, start, start.Add(time.Millisecond))
+	s.found(a, start, start.Add(2*time.Millisecond))
+	if !s.trustedSince().IsZero() {
+		t.Error("one silent searcher made all connections untrusted")
+	}
+	s.found(b, start.Add(3*SilenceWindow), start.Add(3*SilenceWindow))
+	if !s.trustedSince().IsZero() {
+		t.Error("two searchers silent at different times made all connections untrusted")
+	}
+	s.found(a, start.Add(3*SilenceWindow+1), start.Add(3*SilenceWindow+2))
+	if !s.trustedSince().Equal(start.Add(3 * SilenceWindow)) {
+		t.Errorf("trusted since %s", s.trustedSince())
+	}
+}
+
+func TestMergeHits(t *testing.T) {
+	a := []Hit{{Document: "b", Score: 0.5}, {Document: "a", Score: 0.5}}
+	b := []Hit{{Document: "c", Score: 0.9}, {Document: "a", Score: 0.7}}
+	got := MergeHits(a, b, 3)
+	if fmt.Sprint(got) != "[{c 0.9 } {a 0.7 } {b 0.5 }]" {
+		t.Errorf("merged %v", got)
+	}
+}
+
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(okAnswer))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		near, far := net.Pipe()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			go func() { _, _ = io.Copy(io.Discard, far) }()
+			_, _ = far.Write(b)
+			_ = far.Close()
+		}()
+		req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.SetRequestURI("/load")
+		req.Header.SetHost("x")
+		if _, err := newConn(near).exchange(t.Context(), req, res, 0); err == nil {
+			read(res)
+		}
+		_ = near.Close()
+		<-done
+	})
+}
--- /dev/null
+++ b/recorder/recorder_test.go
@@ -0,0 +1,96 @@
+package recorder
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
+
+func TestClock(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	c := NewClock(func() time.Time { return now })
+	a := c.Now()
+	now = now.Add(-time.Hour)
+	if b := c.Now(); !a.Before(b) {
+		t.Error("a clock set back must not turn the order")
+	}
+	far := Stamp{Wall: now.Add(2 * time.Minute).UnixMicro()}
+	c.Observe(far)
+	if b := c.Now(); !far.Before(b) {
+		t.Error("what follows a message must be stamped after it")
+	}
+	last := c.Now()
+	c.Observe(Stamp{Wall: now.Add(2 * MaxSkew).UnixMicro()})
+	if b := c.Now(); b.Wall != last.Wall {
+		t.Error("a stamp too far ahead must be ignored")
+	}
+}
+
+func TestMergeInSpiteOfSkew(t *testing.T) {
+	wall := time.Unix(1_800_000_000, 0)
+	behind := NewRecorder("behind", NewClock(func() time.Time { return wall.Add(-time.Minute) }))
+	ahead := NewRecorder("ahead", NewClock(func() time.Time { return wall }))
+	ahead.Record(Event{Kind: OrderForwarded, Request: "x"})
+	sent, _ := ahead.Events(0, "x")
+	behind.Clock().Observe(sent[0].At)
+	behind.Record(Event{Kind: OrderDone, Request: "x"})
+	got, _ := behind.Events(0, "x")
+	line := Merge(got, sent)
+	if line[0].Kind != OrderForwarded || line[1].Kind != OrderDone {
+		t.Errorf("merged as %v", line)
+	}
+}
+
+func TestRingIsBounded(t *testing.T) {
+	r := NewRecorder("vm", NewClock(time.Now), WithCapacity(10))
+	for range 25 {
+		r.Record(Event{Kind: ProcessStarted})
+	}
+	events, next := r.Events(0, "")
+	if len(events) != 10 || next != 25 {
+		t.Errorf("%d events, next is %d", len(events), next)
+	}
+	if events, _ := r.Events(24, ""); len(events) != 1 {
+		t.Errorf("%d events after 24", len(events))
+	}
+}
+
+func TestSampledAlike(t *testing.T) {
+	a := NewRecorder("a", NewClock(time.Now), WithSample(0.3))
+	b := NewRecorder("b", NewClock(time.Now), WithSample(0.3))
+	kept := 0
+	for _, id := range strings.Fields("a b c d e f g h i j k l m n o p q r s t u v w x y z") {
+		if a.Sampled("request-"+modeler.RequestID(id)) != b.Sampled("request-"+modeler.RequestID(id)) {
+			t.Error("two VMs sample differently")
+		}
+		if a.Sampled("request-" + modeler.RequestID(id)) {
+			kept++
+		}
+	}
+	if kept == 0 || kept == 26 {
+		t.Errorf("kept %d of 26", kept)
+	}
+}
+
+func TestDocsNameEveryEvent(t *testing.T) {
+	b, err := os.ReadFile("../docs/OPERATORS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range EventKinds() {
+		if !strings.Contains(string(b), "`"+string(k)+"`") {
+			t.Errorf("docs/OPERATORS.md does not name %s", k)
+		}
+	}
+}
+
+func BenchmarkKeep(b *testing.B) {
+	r := NewRecorder("vm", NewClock(time.Now))
+	e := []Event{r.Stamp(Event{Kind: AttemptSent, Request: "x"})}
+	for b.Loop() {
+		r.Keep(e)
+	}
+}
--- a/server/handler.go
+++ b/server/handler.go
@@ -83,17 +83,18 @@
 	})
 }
 
-// limitBody gives the body of a request a time limit and a size limit.
+// limitBody gives the body of a request a time limit and a size limit; after a body that breaks them the connection is closed, and the time limit stands while the server looks for its end.
 func limitBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		control := http.NewResponseController(w)
 		_ = control.SetReadDeadline(time.Now().Add(BodyTimeout))
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-		_ = control.SetReadDeadline(time.Time{})
 		if err != nil {
+			w.Header().Set("Connection", "close")
 			Refuse(w, r, bodyRefusal(err))
 			return
 		}
+		_ = control.SetReadDeadline(time.Time{})
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(w, r)
 	})
