--- a/commander/serve.go
+++ b/commander/serve.go
@@ -12,7 +12,7 @@
 )
 
 // gcPercent lets the small heap of a VM grow further between collections.
-const gcPercent = 400
+const gcPercent = 200
 
 func serveCommand() *cli.Command {
 	return &cli.Command{
--- a/configurer/store_test.go
+++ b/configurer/store_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"slices"
 	"testing"
 	"time"
@@ -161,9 +162,16 @@
 				text = append(text, "]}"...)
 			}
 			text = append(text, "]}"...)
-			b.ReportMetric(float64(len(text)), "bytes")
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
 			s := NewStore()
-			rev := modeler.Revision(0)
+			rev := modeler.Revision(1)
+			s.Offer(now, rev, []Value{{"k", rev, slices.Clone(text)}})
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			defer b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(searchers), "held-bytes/searcher")
+			defer b.ReportMetric(float64(len(text))/float64(searchers), "text-bytes/searcher")
 			for b.Loop() {
 				rev++
 				if refused, _ := s.Offer(now, rev, []Value{{"k", rev, text}}); len(refused) > 0 {
--- a/faker/stage.go
+++ b/faker/stage.go
@@ -26,7 +26,7 @@
 
 // Bounds of a stage.
 const (
-	MaxVMs     = 60
+	MaxVMs     = 90
 	readyLimit = 60 * time.Second
 	stopLimit  = 60 * time.Second
 )
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -1,6 +1,7 @@
 package observer
 
 import (
+	"maps"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -29,8 +30,7 @@
 	if s == nil {
 		s = &Searcher{
 			latency: float64(InitialLatency),
-			held:    map[modeler.IndexName][]modeler.SnapshotID{},
-			news:    func() { o.generation.Add(1) },
+			news:    &o.generation,
 		}
 		o.searchers[a] = s
 	}
@@ -49,20 +49,12 @@
 	return s
 }
 
-// Keep forgets the searchers and services that keep and keepService do not name.
-func (o *Observer) Keep(keep map[netip.AddrPort]bool, keepService map[modeler.ServiceName]bool) {
+// Keep forgets the searchers and services that a view does not have.
+func Keep[T any](o *Observer, searchers map[netip.AddrPort]T, services map[modeler.ServiceName]T) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for a := range o.searchers {
-		if !keep[a] {
-			delete(o.searchers, a)
-		}
-	}
-	for n := range o.services {
-		if !keepService[n] {
-			delete(o.services, n)
-		}
-	}
+	maps.DeleteFunc(o.searchers, func(a netip.AddrPort, _ *Searcher) bool { _, ok := searchers[a]; return !ok })
+	maps.DeleteFunc(o.services, func(n modeler.ServiceName, _ *Service) bool { _, ok := services[n]; return !ok })
 }
 
 // Generation rises whenever a belief changes that decides which snapshot can be pinned.
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -4,6 +4,7 @@
 	"math"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -23,7 +24,7 @@
 	cold     time.Time
 	told     bool
 	held     map[modeler.IndexName][]modeler.SnapshotID
-	news     func()
+	news     *atomic.Uint64
 }
 
 // Begin counts an attempt under way.
@@ -66,7 +67,7 @@
 	s.ejected = now.Add(min(EjectMax, EjectBase<<min(s.ejects, 10)))
 	s.ejects++
 	s.cold = s.ejected
-	s.news()
+	s.news.Add(1)
 }
 
 // Ended ends an attempt that says nothing of the searcher's health.
@@ -86,7 +87,7 @@
 	}
 	s.draining = now.Add(DrainingMemory)
 	if fresh {
-		s.news()
+		s.news.Add(1)
 	}
 	return fresh
 }
@@ -98,7 +99,7 @@
 	if now.Before(s.draining) {
 		s.draining = now
 		s.cold = now
-		s.news()
+		s.news.Add(1)
 	}
 }
 
@@ -124,8 +125,11 @@
 	if slices.Equal(s.held[index], ids) {
 		return
 	}
+	if s.held == nil {
+		s.held = make(map[modeler.IndexName][]modeler.SnapshotID, 1)
+	}
 	s.held[index] = slices.Clone(ids)
-	s.news()
+	s.news.Add(1)
 }
 
 // Held reports whether the searcher is known to hold the snapshot, and whether anything is known.
--- a/observer/service.go
+++ b/observer/service.go
@@ -17,18 +17,16 @@
 	computed time.Time
 }
 
-// NewService makes a service without samples.
-func NewService() *Service {
-	return &Service{
-		latency: hdrhistogram.NewWindowed(LatencyWindows, 1, int64(MaxLatency/time.Microsecond), 1),
-		delay:   InitialHedge,
-	}
-}
+// NewService makes a service without samples; it takes memory for them only once there are some.
+func NewService() *Service { return &Service{delay: InitialHedge} }
 
 // Record adds the latency of one answer.
 func (s *Service) Record(latency time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.latency == nil {
+		s.latency = hdrhistogram.NewWindowed(LatencyWindows, 1, int64(MaxLatency/time.Microsecond), 1)
+	}
 	_ = s.latency.Current.RecordValue(min(int64(latency/time.Microsecond), int64(MaxLatency/time.Microsecond)))
 	s.samples++
 	if s.samples%WindowSamples == 0 {
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -153,6 +153,52 @@
 	}
 }
 
+func TestOwnersFollowMembers(t *testing.T) {
+	var vms []modeler.VMName
+	for i := range 60 {
+		vms = append(vms, modeler.VMName(fmt.Sprintf("entry-%d", i)))
+	}
+	o := NewOwners(4)
+	for round, from := range []int{0, 5, 2, 30, 0, 59, 10} {
+		o.Set(vms[from:])
+		for k := range 40 {
+			bucket := fmt.Sprintf("bucket-%d", k)
+			if got, want := o.Of(bucket), Rank(bucket, vms[from:], 4); !slices.Equal(got, want) {
+				t.Fatalf("round %d: owners of %s are %v, not %v", round, bucket, got, want)
+			}
+		}
+	}
+}
+
+func TestBucketOf(t *testing.T) {
+	for name, want := range map[modeler.ServiceName]string{"desk-01": "desk-0", "desk-15": "desk-0", "desk-16": "desk-1", "portal": "portal", "9": "0"} {
+		if got := BucketOf(name); got != want {
+			t.Errorf("bucket of %s is %s, not %s", name, got, want)
+		}
+	}
+}
+
+// BenchmarkOwners measures one VM's join and loss in a fleet of 3,100 with the buckets of 25,333 services.
+func BenchmarkOwners(b *testing.B) {
+	var vms []modeler.VMName
+	for i := range 3100 {
+		vms = append(vms, modeler.VMName(fmt.Sprintf("entry-%d", i)))
+	}
+	o := NewOwners(4)
+	o.Set(vms)
+	const buckets = 1584
+	for k := range buckets {
+		o.Of(fmt.Sprintf("bucket-%d", k))
+	}
+	for b.Loop() {
+		o.Set(vms[1:])
+		o.Set(vms)
+		for k := range buckets {
+			o.Of(fmt.Sprintf("bucket-%d", k))
+		}
+	}
+}
+
 // BenchmarkView measures building the view and its memory for a searcher.
 func BenchmarkView(b *testing.B) {
 	for _, services := range []int{28, 2533, 25333} {
--- a/planner/view.go
+++ b/planner/view.go
@@ -21,6 +21,7 @@
 // Service is one service of the view.
 type Service struct {
 	modeler.Service
+	Bucket    string
 	Searchers []int32
 	Belief    *observer.Service
 }
@@ -54,6 +55,7 @@
 	Teams     []modeler.Team
 	Services  []Service
 	Searchers []Searcher
+	Buckets   map[string][]int32
 	domain    modeler.FailureDomain
 	indexes   map[modeler.IndexName]*Index
 	services  map[modeler.ServiceName]int32
@@ -62,13 +64,16 @@
 
 // NewView joins the values of all keys into one view as seen from a failure domain.
 func NewView(rev modeler.Revision, domain modeler.FailureDomain, links []modeler.Link, values []modeler.Configuration, o *observer.Observer) *View {
+	services, searchers := count(values)
 	v := &View{
-		Revision: rev,
-		domain:   domain,
-		indexes:  map[modeler.IndexName]*Index{},
-		services: map[modeler.ServiceName]int32{},
-
-		addresses: map[netip.AddrPort]int32{},
+		Revision:  rev,
+		Services:  make([]Service, 0, services),
+		Searchers: make([]Searcher, 0, searchers),
+		Buckets:   map[string][]int32{},
+		domain:    domain,
+		indexes:   map[modeler.IndexName]*Index{},
+		services:  make(map[modeler.ServiceName]int32, services),
+		addresses: make(map[netip.AddrPort]int32, searchers),
 	}
 	domains := map[modeler.FailureDomain]int32{}
 	delays := delaysFrom(domain, links)
@@ -84,10 +89,20 @@
 			v.addIndex(x, urgent[x.Name])
 		}
 	}
-	v.forgetOthers(o)
+	observer.Keep(o, v.addresses, v.services)
 	return v
 }
 
+func count(values []modeler.Configuration) (services, searchers int) {
+	for _, c := range values {
+		services += len(c.Services)
+		for _, s := range c.Services {
+			searchers += len(s.Searchers)
+		}
+	}
+	return services, searchers
+}
+
 // Index returns an index of the view.
 func (v *View) Index(n modeler.IndexName) (*Index, bool) {
 	x, ok := v.indexes[n]
@@ -118,7 +133,9 @@
 	}
 	n := int32(len(v.Services))
 	v.services[s.Name] = n
-	out := Service{Service: s, Belief: o.Service(s.Name)}
+	bucket := BucketOf(s.Name)
+	v.Buckets[bucket] = append(v.Buckets[bucket], n)
+	out := Service{Service: s, Bucket: bucket, Belief: o.Service(s.Name), Searchers: make([]int32, 0, len(s.Searchers))}
 	for _, r := range s.Searchers {
 		d, ok := domains[r.FailureDomain]
 		if !ok {
@@ -148,18 +165,6 @@
 	v.indexes[x.Name] = out
 }
 
-func (v *View) forgetOthers(o *observer.Observer) {
-	searchers := make(map[netip.AddrPort]bool, len(v.Searchers))
-	for i := range v.Searchers {
-		searchers[v.Searchers[i].Address] = true
-	}
-	services := make(map[modeler.ServiceName]bool, len(v.Services))
-	for n := range v.services {
-		services[n] = true
-	}
-	o.Keep(searchers, services)
-}
-
 func delaysFrom(domain modeler.FailureDomain, links []modeler.Link) map[modeler.FailureDomain]time.Duration {
 	m := map[modeler.FailureDomain]time.Duration{}
 	for _, l := range links {
--- a/recorder/event.go
+++ b/recorder/event.go
@@ -24,7 +24,6 @@
 	AttemptCancelled      EventKind = "attempt-cancelled"
 	AnswerDropped         EventKind = "answer-dropped"
 	RequestQuarantined    EventKind = "request-quarantined"
-	QuarantineCleared     EventKind = "quarantine-cleared"
 	SearcherDraining      EventKind = "searcher-draining"
 	ConnectionRetired     EventKind = "connection-retired"
 	ConfigurationAccepted EventKind = "configuration-accepted"
@@ -47,7 +46,7 @@
 		ProcessStarted, ProcessDraining, ProcessStopped, ProcessWoke,
 		QueryAccepted, QueryPinned, QueryRestarted, QueryAnswered, QueryRefused,
 		AttemptSent, AttemptAnswered, AttemptFailed, AttemptCancelled, AnswerDropped,
-		RequestQuarantined, QuarantineCleared, SearcherDraining, ConnectionRetired,
+		RequestQuarantined, SearcherDraining, ConnectionRetired,
 		ConfigurationAccepted, ConfigurationRefused,
 		MemberAlive, MemberSuspect, MemberDead, MemberLeft,
 		TicketIssued, OrderForwarded, OrderSent, OrderDone, OrderUnknown, TicketsHandedOver,
--- a/relayer/relayed.go
+++ b/relayer/relayed.go
@@ -75,7 +75,7 @@
 	for _, h := range req.Snapshot.Shards {
 		bucket := ""
 		if h.Service >= 0 {
-			bucket = bucketOf(req.View.Services[h.Service].Name)
+			bucket = req.View.Services[h.Service].Bucket
 		}
 		i, ok := at[bucket]
 		if !ok {
--- a/relayer/spreader.go
+++ b/relayer/spreader.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,11 +17,10 @@
 
 // Bounds of relaying.
 const (
-	Reserve        = 2
-	BucketServices = 16
-	ReturnMargin   = 500 * time.Microsecond
-	RelayQuantile  = 0.99
-	MinRelayHedge  = 5 * time.Millisecond
+	Reserve       = 2
+	ReturnMargin  = 500 * time.Microsecond
+	RelayQuantile = 0.99
+	MinRelayHedge = 5 * time.Millisecond
 )
 
 // Spreader runs a query on the VMs that hold the connections to its services: itself with width 0, otherwise the relays of each service.
@@ -33,27 +30,41 @@
 	recorder  *recorder.Recorder
 	self      modeler.VMName
 	width     int
-	members   func() []gossiper.Member
+	members   atomic.Pointer[map[modeler.VMName]gossiper.Member]
+	ranking   *planner.Owners
 	latency   *observer.Service
 	turn      atomic.Uint32
 	now       func() time.Time
 }
 
 // NewSpreader makes a spreader for a relay width.
-func NewSpreader(s *scatterer.Scatterer, c *Client, r *recorder.Recorder, self modeler.VMName, width int, members func() []gossiper.Member) *Spreader {
-	return &Spreader{
-		scatterer: s, client: c, recorder: r, self: self, width: width, members: members,
+func NewSpreader(s *scatterer.Scatterer, c *Client, r *recorder.Recorder, self modeler.VMName, width int) *Spreader {
+	out := &Spreader{
+		scatterer: s, client: c, recorder: r, self: self, width: width, ranking: planner.NewOwners(width + Reserve),
 		latency: observer.NewService(), now: time.Now,
 	}
+	out.SetMembers(nil)
+	return out
+}
+
+// SetMembers replaces the live VMs that may be relays.
+func (s *Spreader) SetMembers(members []gossiper.Member) {
+	names := make([]modeler.VMName, len(members))
+	byName := make(map[modeler.VMName]gossiper.Member, len(members))
+	for i, m := range members {
+		names[i] = m.Name
+		byName[m.Name] = m
+	}
+	s.members.Store(&byName)
+	s.ranking.Set(names)
 }
 
-// Holders returns how many VMs share the connections to the searchers of a service, or 0 if this VM is not one of them.
-func (s *Spreader) Holders(service modeler.ServiceName, fleet int) int {
+// Holders returns how many VMs share the connections to the searchers of a bucket, or 0 if this VM is not one of them.
+func (s *Spreader) Holders(bucket string, fleet int) int {
 	if s.width == 0 {
 		return fleet
 	}
-	owns := slices.ContainsFunc(s.owners(bucketOf(service)), func(m gossiper.Member) bool { return m.Name == s.self })
-	if !owns {
+	if !slices.Contains(s.ranking.Of(bucket), s.self) {
 		return 0
 	}
 	return s.width + Reserve + 1
@@ -61,31 +72,16 @@
 
 // owners returns the live VMs that hold the connections of a bucket, its relays first and its reserve after them.
 func (s *Spreader) owners(bucket string) []gossiper.Member {
-	members := s.members()
-	names := make([]modeler.VMName, len(members))
-	byName := make(map[modeler.VMName]gossiper.Member, len(members))
-	for i, m := range members {
-		names[i] = m.Name
-		byName[m.Name] = m
-	}
+	members := *s.members.Load()
 	var out []gossiper.Member
-	for _, n := range planner.Rank("relay/"+bucket, names, s.width+Reserve) {
-		out = append(out, byName[n])
+	for _, n := range s.ranking.Of(bucket) {
+		if m, ok := members[n]; ok {
+			out = append(out, m)
+		}
 	}
 	return out
 }
 
-// bucketOf returns the group of neighbouring services that share their relays: the name without its number, and the number's block.
-func bucketOf(service modeler.ServiceName) string {
-	name := string(service)
-	prefix := strings.TrimRight(name, "0123456789")
-	n, err := strconv.Atoi(name[len(prefix):])
-	if err != nil {
-		return name
-	}
-	return prefix + strconv.Itoa(n/BucketServices)
-}
-
 // Run gathers the request directly, or through relays.
 func (s *Spreader) Run(ctx context.Context, req scatterer.Request) scatterer.Result {
 	if s.width == 0 {
--- a/runner/neighbours.go
+++ b/runner/neighbours.go
@@ -56,10 +56,9 @@
 		}
 	}
 	v.crowd.Store(c)
+	v.spread.SetMembers(c.relays)
 }
 
-func (v *VM) relayMembers() []gossiper.Member { return v.crowd.Load().relays }
-
 // fleet returns how many VMs may be running: those listed or those alive, whichever are more.
 func (v *VM) fleet() int {
 	listed := 0
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -45,11 +45,7 @@
 	}
 	keep := map[netip.AddrPort]bool{}
 	var ends []<-chan error
-	for i := range view.Searchers {
-		s := &view.Searchers[i]
-		if v.connectionBudget(s.Address) == 0 {
-			continue
-		}
+	for _, s := range v.held(view) {
 		keep[s.Address] = true
 		ends = append(ends, spawner.Go(ctx, func(ctx context.Context) error {
 			v.ping(ctx, s)
@@ -64,6 +60,23 @@
 	v.dialer.Trim(keep)
 }
 
+// held returns the searchers to which this VM may hold connections.
+func (v *VM) held(view *planner.View) []*planner.Searcher {
+	var out []*planner.Searcher
+	fleet := v.fleet()
+	for bucket, services := range view.Buckets {
+		if v.spread.Holders(bucket, fleet) == 0 {
+			continue
+		}
+		for _, n := range services {
+			for _, r := range view.Services[n].Searchers {
+				out = append(out, &view.Searchers[r])
+			}
+		}
+	}
+	return out
+}
+
 // ping learns from the load endpoint; what the searcher says in band outweighs it.
 func (v *VM) ping(ctx context.Context, s *planner.Searcher) {
 	load, err := v.dialer.Ping(ctx, s.Address, PingTimeout)
@@ -105,12 +118,12 @@
 	if !ok {
 		return 0
 	}
-	contract := view.Services[s.Service].Contract
-	holders := v.spread.Holders(view.Services[s.Service].Name, v.fleet())
+	service := &view.Services[s.Service]
+	holders := v.spread.Holders(service.Bucket, v.fleet())
 	if holders == 0 {
 		return 0
 	}
-	return limiter.Connections(contract.Connections, holders)
+	return limiter.Connections(service.Contract.Connections, holders)
 }
 
 func (v *VM) retired(a netip.AddrPort, detail string) {
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -167,9 +167,9 @@
 	v.gossip = gossiper.NewGossip(node, v.datagrams, v.cfg.keyBytes(), gossiper.Handlers{
 		Changed: v.memberChanged, Pull: v.askPull, News: v.heardNews, Woke: v.woke,
 	})
-	v.refreshCrowd()
 	v.relays = relayer.NewClient(local, []byte(v.cfg.Keys[0]))
-	v.spread = relayer.NewSpreader(v.scatterer, v.relays, v.recorder, v.cfg.Name, v.cfg.RelayWidth, v.relayMembers)
+	v.spread = relayer.NewSpreader(v.scatterer, v.relays, v.recorder, v.cfg.Name, v.cfg.RelayWidth)
+	v.refreshCrowd()
 	v.home = ticketer.NewHome(v.incarnation)
 	if v.mechanisms.Tickets != nil {
 		v.home = v.mechanisms.Tickets(v.home)
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -23,15 +23,15 @@
 	Recorder   *recorder.Recorder
 	Budgets    *limiter.Budgets
 
-	starved   atomic.Int64
-	now       func() time.Time
-	random    func(n int) int
-	hold      func(cleared bool) bool
-	matches   func(want, got gatherer.Claim) bool
-	draining  func(*planner.Searcher)
-	poisoned  func(observer.Fingerprint, time.Time)
-	spend     func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
-	hedgeAt   func(learned time.Duration) time.Duration
+	starved  atomic.Int64
+	now      func() time.Time
+	random   func(n int) int
+	hold     func(cleared bool) bool
+	matches  func(want, got gatherer.Claim) bool
+	draining func(*planner.Searcher)
+	poisoned func(observer.Fingerprint, time.Time)
+	spend    func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
+	hedgeAt  func(learned time.Duration) time.Duration
 }
 
 // Option changes a Scatterer under construction.
@@ -84,15 +84,15 @@
 func NewScatterer(d *dialer.Dialer, o *observer.Observer, q *observer.Quarantine, r *recorder.Recorder, options ...Option) *Scatterer {
 	s := &Scatterer{
 		Dialer: d, Observer: o, Quarantine: q, Recorder: r,
-		Budgets:   limiter.NewBudgets(),
-		now:       time.Now,
-		random:    rand.IntN,
-		hold:      gatherer.HoldUntilCleared,
-		matches:   gatherer.MatchesExactly,
-		draining:  func(*planner.Searcher) {},
-		poisoned:  func(observer.Fingerprint, time.Time) {},
-		spend:     SpendBudgets,
-		hedgeAt:   func(learned time.Duration) time.Duration { return learned },
+		Budgets:  limiter.NewBudgets(),
+		now:      time.Now,
+		random:   rand.IntN,
+		hold:     gatherer.HoldUntilCleared,
+		matches:  gatherer.MatchesExactly,
+		draining: func(*planner.Searcher) {},
+		poisoned: func(observer.Fingerprint, time.Time) {},
+		spend:    SpendBudgets,
+		hedgeAt:  func(learned time.Duration) time.Duration { return learned },
 	}
 	for _, o := range options {
 		o(s)
