Replay recorded traces against stated outcomes

Five traces, recorded from the scenarios' time lines (healthy, straggler, lost, crossed, poison), run through the decisions; without hold or match their outcome differs.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -71,7 +71,7 @@
 		Writer:    out,
 		ErrWriter: errOut,
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), checkCommand(), generateCommand(), loadCommand(), experimentCommand(), timelineCommand(), statusCommand(), versionCommand(),
+			serveCommand(), demoCommand(), checkCommand(), generateCommand(), loadCommand(), experimentCommand(), replayCommand(), timelineCommand(), statusCommand(), versionCommand(),
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
--- a/faker/expect.go
+++ b/faker/expect.go
@@ -101,7 +101,6 @@
 	}
 	var b strings.Builder
 	for _, e := range recorder.Merge(lines...) {
-		e.Plan = nil
 		text, _ := json.Marshal(e)
 		b.WriteString("\n" + string(text))
 	}
--- a/faker/traffic.go
+++ b/faker/traffic.go
@@ -83,7 +83,7 @@
 func (t *Traffic) one(ctx context.Context, vm netip.AddrPort, o Options, text string) refuser.Kind {
 	index := modeler.IndexName(o.Text("index", "cover"))
 	start := time.Now()
-	a, err := t.stage.client.Search(context.WithoutCancel(ctx), vm, index, server.Query{Text: text}, "", o.Duration("deadline", 2*time.Second))
+	a, err := t.stage.client.Search(context.WithoutCancel(ctx), vm, index, server.Query{Text: text}, modeler.RequestID(o.Text("id", "")), o.Duration("deadline", 2*time.Second))
 	took := time.Since(start)
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/faker/verbs.go
+++ b/faker/verbs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -23,7 +24,7 @@
 	return map[string]Verb{
 		"world": verbWorld, "vm": verbVM, "platform": verbPlatform, "publish": verbPublish, "searcher": verbSearcher,
 		"link": verbLink, "loss": verbLoss, "traffic": verbTraffic, "bookings": verbBookings, "search": verbSearch,
-		"ticket": verbTicket, "use": verbUse, "pause": verbPause, "expect": verbExpect, "await": verbAwait,
+		"ticket": verbTicket, "use": verbUse, "pause": verbPause, "trace": verbTrace, "expect": verbExpect, "await": verbAwait,
 	}
 }
 
@@ -368,6 +369,14 @@
 	return nil
 }
 
+// verbTrace writes the time line of a search to a file, as replay reads it.
+func verbTrace(s *Stage, words []string, o Options) error {
+	if len(words) != 1 {
+		return errors.New("trace FILE id=REQUEST")
+	}
+	return os.WriteFile(words[0], []byte(s.explain(modeler.RequestID(o.Text("id", "")))), 0o600)
+}
+
 func verbPause(s *Stage, words []string, _ Options) error {
 	d, err := time.ParseDuration(strings.Join(words, ""))
 	if err != nil {
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -24,6 +24,16 @@
 // String returns the kebab-case name of the fault.
 func (f Fault) String() string { return faultNames[f] }
 
+// ParseFault returns the fault with the name, or FaultNone.
+func ParseFault(name string) Fault {
+	for i, n := range faultNames {
+		if n == name {
+			return Fault(i)
+		}
+	}
+	return FaultNone
+}
+
 // NotRun reports whether the fault proves that the attempt was not run.
 func (f Fault) NotRun() bool {
 	return f == FaultNotSent || f == FaultShed || f == FaultDraining || f == FaultNotHeld
--- a/gatherer/result.go
+++ b/gatherer/result.go
@@ -35,6 +35,9 @@
 // Attempts returns how many attempts found a connection, and how many were the first of their shard.
 func (q *Query) Attempts() (sent, primaries int) { return len(q.attempts) - q.notSent, q.primaries }
 
+// Sent returns how many attempts were asked for.
+func (q *Query) Sent() int { return len(q.attempts) }
+
 // Lost returns the searchers on which an attempt ended by connection loss.
 func (q *Query) Lost() []int32 { return q.lost }
 
--- /dev/null
+++ b/replayer/replayer_test.go
@@ -0,0 +1,67 @@
+package replayer
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+)
+
+func load(t *testing.T, file string) Trace {
+	t.Helper()
+	b, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	trace, err := Parse(file, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return trace
+}
+
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.jsonl")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("%d traces, %v", len(files), err)
+	}
+	for _, f := range files {
+		trace := load(t, f)
+		if got := Run(trace); got != trace.Expect {
+			t.Errorf("%s came to %+v, stated is %+v", f, got, trace.Expect)
+		}
+	}
+}
+
+func TestTracesTripWithoutMechanisms(t *testing.T) {
+	poison := load(t, "testdata/poison.jsonl")
+	if got := Run(poison, WithHold(func(bool) bool { return false })); got.SecondReplicas == 0 {
+		t.Error("without the hold the poisonous trace reaches no second replica: the outcome cannot fail")
+	}
+	crossed := load(t, "testdata/crossed.jsonl")
+	if got := Run(crossed, WithMatch(func(gatherer.Claim, gatherer.Claim) bool { return true })); got == crossed.Expect {
+		t.Error("without the match the crossed trace ends alike: the outcome cannot fail")
+	}
+}
+
+func TestParse(t *testing.T) {
+	for _, bad := range []string{"", "{}", `{"kind":"query-pinned"}`, `{"expect":{"answered":1}}`, "x"} {
+		if _, err := Parse("f", []byte(bad)); err == nil {
+			t.Errorf("%q is taken for a trace", bad)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	b, err := os.ReadFile("testdata/healthy.jsonl")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if t, err := Parse("f", b); err == nil {
+			Run(t)
+		}
+	})
+}
