--- /dev/null
+++ b/commander/commander_test.go
@@ -0,0 +1,31 @@
+package commander
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+)
+
+func TestDocsNameEveryCommand(t *testing.T) {
+	b, err := os.ReadFile("../docs/OPERATORS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	for _, c := range newApp(&out, &out).Commands {
+		if !strings.Contains(string(b), "| `"+c.Name+"` |") {
+			t.Errorf("docs/OPERATORS.md does not name %s", c.Name)
+		}
+	}
+}
+
+func TestDemoRunsTheExample(t *testing.T) {
+	example, err := os.ReadFile("../examples/hanbit.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(example, demoQuestionnaire) {
+		t.Error("demo.jsonc is not examples/hanbit.jsonc")
+	}
+}
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -5,6 +5,7 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/pistachiogap/pistachiogap/parser"
@@ -23,7 +24,8 @@
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
-	cfg, err := readSettings(c.String("settings"))
+	file := c.String("settings")
+	cfg, err := readSettings(file)
 	if err != nil {
 		return err
 	}
@@ -32,7 +34,7 @@
 	}
 	vm, err := runner.NewVM(cfg)
 	if err != nil {
-		return usage(err)
+		return usage(errors.Wrap(err, file))
 	}
 	return vm.Run(ctx)
 }
--- a/limiter/admitter.go
+++ b/limiter/admitter.go
@@ -14,6 +14,7 @@
 	total    int
 	teams    map[modeler.TeamName]*teamUse
 	adjusted time.Time
+	lowered  time.Time
 	sent     int
 	shed     int
 	peak     int
@@ -92,12 +93,20 @@
 	}
 	if float64(a.shed) > ShedTolerance*float64(a.sent) {
 		a.limit = max(MinConcurrency, min(a.limit, float64(a.peak))*DecreaseFactor)
+		a.lowered = now
 	} else if float64(a.peak) >= a.limit/2 {
-		a.limit = min(MaxConcurrency, a.limit+1+a.limit/32)
+		a.limit = min(MaxConcurrency, a.limit+IncreaseStep+a.limit*IncreaseShare)
 	}
 	a.adjusted, a.sent, a.shed, a.peak = now, 0, 0, a.total
 }
 
+// Pressed reports whether the limit was lowered lately: then hedges and retries have to stop first.
+func (a *Admitter) Pressed(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Sub(a.lowered) < PressedFor
+}
+
 // Limit returns the concurrency limit and the requests under way.
 func (a *Admitter) Limit() (limit float64, underway int) {
 	a.mu.Lock()
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -88,7 +88,11 @@
 	return plan
 }
 
-func (r *run) spend(_ time.Time, p gatherer.Purpose) bool {
+// spend allows an extra attempt; under pressure only one on a new connection, which finds silent ones.
+func (r *run) spend(now time.Time, p gatherer.Purpose) bool {
+	if p != gatherer.Probe && r.s.pressed(now) {
+		return false
+	}
 	return r.s.spend(p, r.hedges, r.retries)
 }
 
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -32,6 +32,7 @@
 	poisoned func(observer.Fingerprint, time.Time)
 	spend    func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
 	hedgeAt  func(learned time.Duration) time.Duration
+	pressed  func(now time.Time) bool
 }
 
 // Option changes a Scatterer under construction.
@@ -64,6 +65,9 @@
 	return func(s *Scatterer) { s.spend = f }
 }
 
+// WithPressure sets what tells that the searchers are behind.
+func WithPressure(f func(now time.Time) bool) Option { return func(s *Scatterer) { s.pressed = f } }
+
 // WithHedgeDelay sets the hedge delay from the one that was learned.
 func WithHedgeDelay(f func(learned time.Duration) time.Duration) Option {
 	return func(s *Scatterer) { s.hedgeAt = f }
@@ -92,6 +96,7 @@
 		draining: func(*planner.Searcher) {},
 		poisoned: func(observer.Fingerprint, time.Time) {},
 		spend:    SpendBudgets,
+		pressed:  func(time.Time) bool { return false },
 		hedgeAt:  func(learned time.Duration) time.Duration { return learned },
 	}
 	for _, o := range options {
--- a/server/constants.go
+++ b/server/constants.go
@@ -11,6 +11,7 @@
 	IdleTimeout    = 2 * time.Minute
 	DefaultLimit   = 20
 	MaxLimit       = 1000
+	LostServices   = 8
 )
 
 // The headers of the callers' protocol.
--- a/server/search.go
+++ b/server/search.go
@@ -190,10 +190,18 @@
 	}
 	defer s.Admitter.Release(x.Team)
 	res := s.run(ctx, in, v, x)
-	s.Admitter.Observe(time.Now(), res.Sent, res.Shed+s.Starved())
+	s.Admitter.Observe(time.Now(), res.Sent, res.Shed+s.Starved()+widelyMissing(&res))
 	return res, nil
 }
 
+// widelyMissing returns the shards without an answer if they are too many to be the loss of a few services: then searchers are behind.
+func widelyMissing(res *scatterer.Result) int {
+	if n := res.Shards - res.Answered; !res.Crashed && n > 1 && n*LostServices > res.Shards {
+		return n
+	}
+	return 0
+}
+
 // run gathers the search on the pinned snapshot, and once more on another one if searchers no longer or not yet hold it.
 func (s *Searches) run(ctx context.Context, in searchInput, v *planner.View, x *planner.Index) scatterer.Result {
 	req := scatterer.Request{ID: in.id, View: v, Index: x, Body: in.body, Limit: in.limit, Deadline: s.within(in, x)}
