Give each run of a query its own attempt ids

Cause: found by reading. Attempt ids were request id and number, so two searches under one request id, a resend or two callers' choice, could take each other's crossed answers. Change: a random part in the attempt id of each run. Also: cancelling all attempts of a query at its end took attempts times shards, now attempts. Files that had grown are split by concern, one sleep in place of four, what nothing used is gone.

--- a/commander/experiment.go
+++ b/commander/experiment.go
@@ -59,7 +59,7 @@
 				if _, err := fmt.Sscan(width, &spec.RelayWidth); err != nil {
 					return usage(err)
 				}
-				if err := one(ctx, c, spec); err != nil {
+				if err := measure(ctx, c, spec); err != nil {
 					return err
 				}
 			}
@@ -68,7 +68,7 @@
 	return nil
 }
 
-func one(ctx context.Context, c *cli.Command, spec experimenter.Spec) error {
+func measure(ctx context.Context, c *cli.Command, spec experimenter.Spec) error {
 	o, err := experimenter.Run(ctx, spec)
 	if err != nil {
 		return err
--- a/faker/checker.go
+++ b/faker/checker.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/runner"
 	"github.com/pistachiogap/pistachiogap/server"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 const readyPoll = 20 * time.Millisecond
@@ -31,7 +32,7 @@
 			if ctx.Err() != nil {
 				return errors.Errorf("VM %s is not ready after %s", s.Name, limit)
 			}
-			sleep(ctx, readyPoll)
+			spawner.Sleep(ctx, readyPoll)
 		}
 	}
 	return nil
--- a/faker/expect.go
+++ b/faker/expect.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiogap/pistachiogap/recorder"
 	"github.com/pistachiogap/pistachiogap/refuser"
 	"github.com/pistachiogap/pistachiogap/server"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 const (
@@ -252,7 +253,7 @@
 		if time.Now().After(limit) {
 			return errors.Errorf("%s is not reached: %s", words[0], late)
 		}
-		sleep(s.ctx, awaitPoll)
+		spawner.Sleep(s.ctx, awaitPoll)
 	}
 }
 
--- a/faker/searcher.go
+++ b/faker/searcher.go
@@ -220,7 +220,7 @@
 	}
 	s.work(r.Context(), conduct)
 	s.leaveSlot()
-	sleep(r.Context(), s.delay(from))
+	spawner.Sleep(r.Context(), s.delay(from))
 	s.answer(w, r, conduct, s.found(r, index, shard, modeler.SnapshotID(id), body))
 }
 
@@ -311,7 +311,7 @@
 		return
 	}
 	s.record.Add(s.run(r, "", 0, true, body))
-	sleep(context.WithoutCancel(r.Context()), conduct.Service+conduct.Extra+s.delay(from))
+	spawner.Sleep(context.WithoutCancel(r.Context()), conduct.Service+conduct.Extra+s.delay(from))
 	if conduct.CloseAfter {
 		panic(http.ErrAbortHandler)
 	}
@@ -408,17 +408,5 @@
 	s.mu.Lock()
 	spread := math.Exp(serviceSpread * s.random.NormFloat64())
 	s.mu.Unlock()
-	sleep(ctx, time.Duration(float64(c.Service)*spread)+c.Extra)
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	spawner.Sleep(ctx, time.Duration(float64(c.Service)*spread)+c.Extra)
 }
--- a/faker/traffic.go
+++ b/faker/traffic.go
@@ -56,7 +56,7 @@
 				if len(vms) > 0 {
 					t.one(ctx, vms[rand.IntN(len(vms))], o, fmt.Sprintf("caller %d search %d", n, i))
 				}
-				sleep(ctx, o.Duration("pause", 5*time.Millisecond))
+				spawner.Sleep(ctx, o.Duration("pause", 5*time.Millisecond))
 			}
 			return nil
 		}))
@@ -149,7 +149,7 @@
 		b.ends = append(b.ends, spawner.Go(ctx, func(ctx context.Context) error {
 			for i := 0; ctx.Err() == nil; i++ {
 				b.book(context.WithoutCancel(ctx), o, fmt.Sprintf("booking %d of caller %d", i, n))
-				sleep(ctx, o.Duration("pause", 10*time.Millisecond))
+				spawner.Sleep(ctx, o.Duration("pause", 10*time.Millisecond))
 			}
 			return nil
 		}))
--- a/faker/verbs.go
+++ b/faker/verbs.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiogap/pistachiogap/caller"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/refuser"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // Verb is one command of the scenario language.
@@ -382,6 +383,6 @@
 	if err != nil {
 		return err
 	}
-	sleep(s.ctx, d)
+	spawner.Sleep(s.ctx, d)
 	return nil
 }
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -63,7 +63,6 @@
 	searcher int32
 	purpose  Purpose
 	open     bool
-	started  time.Time
 }
 
 // Query is the state machine of one scattered query.
@@ -123,35 +122,6 @@
 	return q.settle(now, out)
 }
 
-// tick hedges the shards that straggle; one whose hedge is not allowed now is asked again a hedge delay later.
-func (q *Query) tick(now time.Time, out []Action) []Action {
-	if now.Before(q.nextHedge) {
-		return out
-	}
-	q.nextHedge = q.plan.Deadline
-	for i := range q.shards {
-		s := &q.shards[i]
-		if s.phase != shardOpen || s.hedges == MaxHedges {
-			continue
-		}
-		if !now.Before(s.hedgeAt) {
-			s.hedgeAt = now.Add(q.seams.HedgeAfter(int32(i)))
-			out = q.hedge(now, int32(i), out)
-		}
-		if s.hedges < MaxHedges {
-			q.nextHedge = earlier(q.nextHedge, s.hedgeAt)
-		}
-	}
-	return out
-}
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 func (q *Query) start(now time.Time, out []Action) []Action {
 	for i := range q.shards {
 		out = q.sendElsewhere(now, int32(i), Primary, out)
@@ -185,25 +155,6 @@
 	return Claim{q.plan.Request, id, shard.Name, q.plan.Snapshot, shard.Documents}
 }
 
-// clear lets held shards go on: a request that was answered once does not crash what runs it.
-func (q *Query) clear(now time.Time, out []Action) []Action {
-	if q.cleared {
-		return out
-	}
-	q.cleared = true
-	return q.release(now, out)
-}
-
-func (q *Query) release(now time.Time, out []Action) []Action {
-	for i := range q.shards {
-		if q.shards[i].phase == shardHeld {
-			q.shards[i].phase = shardOpen
-			out = q.retry(now, int32(i), out)
-		}
-	}
-	return out
-}
-
 func (q *Query) fail(now time.Time, id int32, f Fault, out []Action) []Action {
 	if !q.isOpen(id) {
 		return out
@@ -270,72 +221,13 @@
 	s.hedgeAt = now.Add(q.seams.HedgeAfter(shard))
 	q.nextHedge = earlier(q.nextHedge, s.hedgeAt)
 	id := int32(len(q.attempts))
-	q.attempts = append(q.attempts, attempt{shard, searcher, p, true, now})
+	q.attempts = append(q.attempts, attempt{shard, searcher, p, true})
 	if p == Primary {
 		q.primaries++
 	}
 	return append(out, Action{ActionSend, p, id, shard, searcher})
 }
 
-// hedge sends a straggling shard to another replica, and later once more on a new connection, for all open ones may be silent; before the first answer it goes to the same replica on a new connection, so that a crashing request never reaches a second one.
-func (q *Query) hedge(now time.Time, shard int32, out []Action) []Action {
-	s := &q.shards[shard]
-	if int(s.tries) >= MaxTries {
-		s.hedges = MaxHedges
-		return out
-	}
-	if q.seams.Hold(q.cleared) {
-		return q.probe(now, shard, out)
-	}
-	searcher, ok := q.seams.Pick(now, shard, s.tried[:s.tries])
-	if !ok && s.hedges > 0 {
-		searcher, ok = s.tried[0], true
-	}
-	purpose := Hedge
-	switch {
-	case s.hedges > 0:
-		purpose = Probe
-	case s.denied:
-		purpose = LateHedge
-	}
-	if !ok || !q.seams.Spend(now, purpose) {
-		s.denied = true
-		return out
-	}
-	s.hedges++
-	return q.send(now, shard, searcher, purpose, out)
-}
-
-// probe asks the same replica again on a new connection, for a few shards of a query that nothing has answered yet.
-func (q *Query) probe(now time.Time, shard int32, out []Action) []Action {
-	s := &q.shards[shard]
-	if len(q.lost) > 0 || q.probes >= CanaryProbes {
-		return out
-	}
-	q.probes++
-	s.hedges++
-	return q.send(now, shard, s.tried[s.tries-1], Probe, out)
-}
-
-// verdict ends a query that crashes searchers. If it is innocent, one held shard tries another replica, whose answer clears the rest; while it is undecided nothing is tried.
-func (q *Query) verdict(now time.Time, v Verdict, out []Action) []Action {
-	q.checking = false
-	if q.cleared || v == Undecided {
-		return out
-	}
-	if v == Poisonous {
-		out = append(out, Action{Kind: ActionQuarantine})
-		return q.finish(out)
-	}
-	for i := range q.shards {
-		if s := &q.shards[i]; s.phase == shardHeld && int(s.tries) < MaxTries {
-			s.phase = shardOpen
-			return q.sendElsewhere(now, int32(i), Probe, out)
-		}
-	}
-	return out
-}
-
 // settle ends the query, or asks for what it needs next, once the event is handled.
 func (q *Query) settle(now time.Time, out []Action) []Action {
 	if q.suspicious() {
@@ -349,35 +241,14 @@
 	return q.tick(now, out)
 }
 
-// suspicious reports that at least half of the attempts ended by connection loss and none was answered.
-func (q *Query) suspicious() bool {
-	n := len(q.lost)
-	return !q.cleared && !q.checking && n >= PoisonLosses && n > q.checked && 2*n >= len(q.attempts)
-}
-
 func (q *Query) enough(now time.Time) bool {
 	return !now.Before(q.plan.Patience) && q.Coverage() >= q.plan.LeastCoverage
 }
 
-// stuck reports that nothing is under way that could still clear the held shards.
-func (q *Query) stuck() bool {
-	if q.checking || len(q.lost) == 0 || q.cleared {
-		return false
-	}
-	for i := range q.attempts {
-		if q.attempts[i].open {
-			return false
-		}
-	}
-	return true
-}
-
 func (q *Query) finish(out []Action) []Action {
 	q.done = true
-	for i := range q.shards {
-		if q.shards[i].open > 0 {
-			out = q.cancelShard(int32(i), out)
-		}
+	for i := range q.attempts {
+		out = q.cancel(int32(i), out)
 	}
 	if q.notHeld && q.answered < len(q.shards) {
 		out = append(out, Action{Kind: ActionRestart})
@@ -386,21 +257,27 @@
 }
 
 func (q *Query) cancelShard(shard int32, out []Action) []Action {
-	s := &q.shards[shard]
-	if s.open == 0 {
+	if q.shards[shard].open == 0 {
 		return out
 	}
 	for i := range q.attempts {
-		a := &q.attempts[i]
-		if a.open && a.shard == shard {
-			a.open = false
-			s.open--
-			out = append(out, Action{ActionCancel, a.purpose, int32(i), shard, a.searcher})
+		if q.attempts[i].shard == shard {
+			out = q.cancel(int32(i), out)
 		}
 	}
 	return out
 }
 
+func (q *Query) cancel(id int32, out []Action) []Action {
+	a := &q.attempts[id]
+	if !a.open {
+		return out
+	}
+	a.open = false
+	q.shards[a.shard].open--
+	return append(out, Action{ActionCancel, a.purpose, id, a.shard, a.searcher})
+}
+
 func (q *Query) isOpen(id int32) bool {
 	return id >= 0 && int(id) < len(q.attempts) && q.attempts[id].open
 }
--- a/gatherer/result.go
+++ b/gatherer/result.go
@@ -51,8 +51,3 @@
 	}
 	return names
 }
-
-// Started returns when an attempt was sent, and whether it is still open.
-func (q *Query) Started(id int32) (at time.Time, open bool) {
-	return q.attempts[id].started, q.attempts[id].open
-}
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -12,7 +12,6 @@
 	share  float64
 	burst  float64
 	tokens float64
-	denied uint64
 }
 
 // NewBudget makes a full budget that allows share extra sends for each primary one.
@@ -39,7 +38,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.tokens < 1 {
-		b.denied++
 		return false
 	}
 	b.tokens--
@@ -77,7 +75,6 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.tokens < 1+b.burst/2 {
-		b.denied++
 		return false
 	}
 	b.tokens--
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -83,7 +83,7 @@
 	report := start.Add(progressPeriod)
 	var ends []<-chan error
 	for n := 0; next.Sub(start) < l.Duration && ctx.Err() == nil; n++ {
-		wait(ctx, time.Until(next))
+		spawner.Sleep(ctx, time.Until(next))
 		intended, vm := next, l.VMs[random.IntN(len(l.VMs))]
 		ends = append(ends, spawner.Go(ctx, func(ctx context.Context) error {
 			r.one(ctx, client, l, vm, n, intended)
@@ -100,22 +100,10 @@
 	return r, ctx.Err()
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 func (r *Result) one(ctx context.Context, c *caller.Client, l Load, vm netip.AddrPort, n int, intended time.Time) {
-	wait(ctx, l.Delay)
+	spawner.Sleep(ctx, l.Delay)
 	a, err := c.Search(ctx, vm, l.Index, server.Query{Text: l.Text(n)}, "", l.Deadline)
-	wait(ctx, l.Delay)
+	spawner.Sleep(ctx, l.Delay)
 	took := time.Since(intended)
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/relayer/spreader.go
+++ b/relayer/spreader.go
@@ -11,7 +11,6 @@
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
-	"github.com/pistachiogap/pistachiogap/recorder"
 	"github.com/pistachiogap/pistachiogap/scatterer"
 )
 
@@ -27,7 +26,6 @@
 type Spreader struct {
 	scatterer *scatterer.Scatterer
 	client    *Client
-	recorder  *recorder.Recorder
 	self      modeler.VMName
 	width     int
 	members   atomic.Pointer[map[modeler.VMName]gossiper.Member]
@@ -38,9 +36,9 @@
 }
 
 // NewSpreader makes a spreader for a relay width.
-func NewSpreader(s *scatterer.Scatterer, c *Client, r *recorder.Recorder, self modeler.VMName, width int) *Spreader {
+func NewSpreader(s *scatterer.Scatterer, c *Client, self modeler.VMName, width int) *Spreader {
 	out := &Spreader{
-		scatterer: s, client: c, recorder: r, self: self, width: width, ranking: planner.NewOwners(width + Reserve),
+		scatterer: s, client: c, self: self, width: width, ranking: planner.NewOwners(width + Reserve),
 		latency: observer.NewService(), now: time.Now,
 	}
 	out.SetMembers(nil)
--- /dev/null
+++ b/runner/constants.go
@@ -0,0 +1,35 @@
+package runner
+
+import "time"
+
+// Bounds and defaults of the settings.
+const (
+	MinKeyBytes         = 16
+	MaxRelayWidth       = 16
+	MaxTimelineEvents   = 1 << 20
+	MaxGrace            = 5 * time.Minute
+	DefaultGrace        = 10 * time.Second
+	DefaultDrainDelay   = 2 * time.Second
+	DefaultReturnMargin = time.Millisecond
+	DefaultListPeriod   = 5 * time.Second
+	DefaultEvents       = 1 << 14
+)
+
+// Bounds of what a VM asks of its neighbours.
+const (
+	JoinTimeout    = time.Second
+	JoinPeers      = 3
+	PullTimeout    = 2 * time.Second
+	AdoptTimeout   = 2 * time.Second
+	HandoverWait   = 10 * time.Millisecond
+	DrainingPeriod = time.Minute
+	LeaveLinger    = 700 * time.Millisecond
+)
+
+// Bounds of the regular work of a VM.
+const (
+	UpkeepPeriod  = time.Second
+	PingTimeout   = 400 * time.Millisecond
+	PingsAtOnce   = 32
+	TicketsPeriod = 60
+)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -40,19 +40,6 @@
 	Timeline      Timeline              `json:"timeline"`
 }
 
-// Bounds and defaults of the settings.
-const (
-	MinKeyBytes         = 16
-	MaxRelayWidth       = 16
-	MaxTimelineEvents   = 1 << 20
-	MaxGrace            = 5 * time.Minute
-	DefaultGrace        = 10 * time.Second
-	DefaultDrainDelay   = 2 * time.Second
-	DefaultReturnMargin = time.Millisecond
-	DefaultListPeriod   = 5 * time.Second
-	DefaultEvents       = 1 << 14
-)
-
 // Check fills in the defaults and returns the faults of the settings.
 func (s *Settings) Check() modeler.Problems {
 	var p modeler.Problems
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -13,14 +13,6 @@
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
-// Bounds of the regular work of a VM.
-const (
-	UpkeepPeriod  = time.Second
-	PingTimeout   = 400 * time.Millisecond
-	PingsAtOnce   = 32
-	TicketsPeriod = 60
-)
-
 // upkeep pings the searchers that this VM may call, trims connections and forgets old tickets, once a period.
 func (v *VM) upkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -168,7 +168,7 @@
 		Changed: v.memberChanged, Pull: v.askPull, News: v.heardNews, Woke: v.woke,
 	})
 	v.relays = relayer.NewClient(local, []byte(v.cfg.Keys[0]))
-	v.spread = relayer.NewSpreader(v.scatterer, v.relays, v.recorder, v.cfg.Name, v.cfg.RelayWidth)
+	v.spread = relayer.NewSpreader(v.scatterer, v.relays, v.cfg.Name, v.cfg.RelayWidth)
 	v.refreshCrowd()
 	v.home = ticketer.NewHome(v.incarnation)
 	if v.mechanisms.Tickets != nil {
@@ -204,7 +204,7 @@
 	v.recorder.Record(recorder.Event{Kind: recorder.ProcessDraining})
 	klog.Infof("vm: %s drains", v.cfg.Name)
 	if err == nil {
-		pause(life, v.cfg.DrainDelay.Duration)
+		spawner.Sleep(life, v.cfg.DrainDelay.Duration)
 		closeFront()
 		err = <-callers
 	}
@@ -254,12 +254,3 @@
 	h := relayer.Authenticated(v.cfg.keyBytes(), http.Handler(messenger.NewPeerServer(service)))
 	return server.Serve(ctx, server.NewPeerServer(h), v.peers, time.Second)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/scatterer/judge.go
+++ b/scatterer/judge.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // Judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which searchers that it never reached are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if such searchers are dead, and undecided if they do not answer in time.
@@ -14,11 +14,8 @@
 	if first := s.judgeOnce(ctx, v, lost, reached); first != gatherer.Poisonous {
 		return first
 	}
-	t := time.NewTimer(RecheckAfter)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+	spawner.Sleep(ctx, RecheckAfter)
+	if ctx.Err() != nil {
 		return gatherer.Undecided
 	}
 	return s.judgeOnce(ctx, v, lost, reached)
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -10,7 +11,6 @@
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/limiter"
-	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/parser"
 	"github.com/pistachiogap/pistachiogap/planner"
@@ -30,6 +30,7 @@
 	req     Request
 	picker  planner.Picker
 	print   observer.Fingerprint
+	prefix  string
 	query   *gatherer.Query
 	ends    chan end
 	hedges  *limiter.Budget
@@ -49,6 +50,7 @@
 		s: s, req: req,
 		picker:  planner.Picker{View: req.View, Index: req.Index.Name, Snapshot: req.Snapshot, Random: s.random},
 		print:   observer.FingerprintOf(req.Index.Name, req.Body),
+		prefix:  string(req.ID) + "." + strconv.FormatUint(rand.Uint64(), 36) + ".",
 		ends:    make(chan end, len(req.Snapshot.Shards)+eventSlack),
 		reached: make(map[int32]bool, len(req.Snapshot.Shards)),
 		sampled: s.Recorder.Sampled(req.ID),
@@ -152,7 +154,7 @@
 		Address:  r.req.View.Searchers[a.Searcher].Address,
 		Path:     "/v1/search",
 		Request:  r.req.ID,
-		Attempt:  string(r.req.ID) + "." + strconv.Itoa(int(a.Attempt)),
+		Attempt:  r.prefix + strconv.Itoa(int(a.Attempt)),
 		Index:    r.req.Index.Name,
 		Shard:    r.req.Snapshot.Shards[a.Shard].Name,
 		Snapshot: r.req.Snapshot.ID,
@@ -193,7 +195,7 @@
 	}
 	claim := gatherer.Claim{
 		Request:   answer.Request,
-		Attempt:   attemptOf(r.req.ID, answer.Attempt),
+		Attempt:   attemptOf(r.prefix, answer.Attempt),
 		Shard:     answer.Shard,
 		Snapshot:  answer.Snapshot,
 		Documents: answer.Documents,
@@ -201,9 +203,9 @@
 	return end{reply: reply, hits: answer.Hits, event: gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: claim}}
 }
 
-// attemptOf returns the attempt that an attempt id of the request names, or -1.
-func attemptOf(id modeler.RequestID, s string) int32 {
-	rest, ok := strings.CutPrefix(s, string(id)+".")
+// attemptOf returns the attempt of this run that an attempt id names, or -1; the prefix is random, for callers may use a request id again.
+func attemptOf(prefix, s string) int32 {
+	rest, ok := strings.CutPrefix(s, prefix)
 	n, err := strconv.ParseInt(rest, 10, 32)
 	if !ok || err != nil {
 		return -1
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -41,9 +41,6 @@
 // WithClock sets the source of the time.
 func WithClock(f func() time.Time) Option { return func(s *Scatterer) { s.now = f } }
 
-// WithRandom sets the source of random numbers below n.
-func WithRandom(f func(n int) int) Option { return func(s *Scatterer) { s.random = f } }
-
 // WithHold sets the rule that keeps a query with a lost connection from a second replica.
 func WithHold(f func(cleared bool) bool) Option { return func(s *Scatterer) { s.hold = f } }
 
--- a/spawner/spawner.go
+++ b/spawner/spawner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -25,6 +26,19 @@
 	return first
 }
 
+// Sleep waits for the time or the end of the context, whichever comes first.
+func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func guarded(ctx context.Context, fn func(context.Context) error) (err error) {
 	defer func() {
 		if v := recover(); v != nil {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -7,6 +7,7 @@
 
 	"github.com/pistachiogap/pistachiogap/configurer"
 	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // Watcher keeps one VM's store up to date from the platform.
@@ -35,7 +36,7 @@
 		default:
 			failed = 0
 		}
-		sleep(ctx, wait)
+		spawner.Sleep(ctx, wait)
 	}
 	return ctx.Err()
 }
@@ -46,7 +47,7 @@
 		if l, err := w.Client.Listing(ctx); err == nil {
 			w.Listed(l)
 		}
-		sleep(ctx, max(period, configurer.PollPeriod(w.VMs())))
+		spawner.Sleep(ctx, max(period, configurer.PollPeriod(w.VMs())))
 	}
 	return ctx.Err()
 }
@@ -70,15 +71,3 @@
 	w.Changed(refused, changed)
 	return nil
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
