Shrink a pool to its budget, and probe nothing through relays

Cause: found by reading. A connection that closed passed its place to the next in line even when the budget had fallen below it, so a pool under load never shrank; a new connection displaced the idle one used last, not the one unread for longest; a query without time left still sent to every shard. Change: each mended, with TestPoolShrinks and a case in TestQuery.

--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -213,6 +213,37 @@
 	}
 }
 
+func TestPoolShrinks(t *testing.T) {
+	u := startUpstream(t, answers)
+	p := &pool{addr: u.addr, limit: 2, dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return net.Dial("tcp", u.addr.String()) }}
+	now := time.Now()
+	var held []*conn
+	for range 2 {
+		c, err := p.take(t.Context(), now, time.Time{}, anyIdle)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	end := make(chan error, 1)
+	go func() {
+		_, err := p.take(ctx, now, time.Time{}, anyIdle)
+		end <- err
+	}()
+	for _, waiting := p.size(); waiting == 0; _, waiting = p.size() {
+		time.Sleep(time.Millisecond)
+	}
+	p.trim(now, 1)
+	p.retire(held[0], time.Time{})
+	if open, waiting := p.size(); open != 1 || waiting != 1 {
+		t.Errorf("after the budget fell to 1: %d open, %d in line", open, waiting)
+	}
+	cancel()
+	<-end
+	p.retire(held[1], time.Time{})
+}
+
 func TestDoReadsRefusals(t *testing.T) {
 	tests := []struct {
 		status int
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -65,27 +65,35 @@
 	}
 }
 
-// takeIdle returns the idle connection read from last; it closes those that are stale or not trusted, and one to make room for a new one.
+// takeIdle returns the idle connection read from last, and closes those that are stale or not trusted.
 func (p *pool) takeIdle(now time.Time, t trust) *conn {
-	if t == newOnly && p.open < p.budget(now) {
+	if t == newOnly {
+		p.makeRoom(now)
 		return nil
 	}
 	for len(p.idle) > 0 {
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		unproven := t == provenIdle && now.Sub(c.lastRead) > ProveAfter
-		if t != newOnly && !unproven && !c.lastRead.Before(p.suspect) && !c.stale() {
+		if !unproven && !c.lastRead.Before(p.suspect) && !c.stale() {
 			return c
 		}
 		p.open--
 		_ = c.Close()
-		if t == newOnly {
-			return nil
-		}
 	}
 	return nil
 }
 
+// makeRoom closes the idle connection that was unread for longest if the budget has no room for a new one.
+func (p *pool) makeRoom(now time.Time) {
+	if len(p.idle) == 0 || p.open < p.budget(now) {
+		return
+	}
+	_ = p.idle[0].Close()
+	p.idle = p.idle[1:]
+	p.open--
+}
+
 func (p *pool) budget(now time.Time) int {
 	if now.Sub(p.shrunk) < ShrinkPeriod {
 		return max(1, p.limit-1)
@@ -135,12 +143,15 @@
 	p.drop()
 }
 
+// drop gives the place of a closed connection to the first waiter, unless the budget has shrunk below it.
 func (p *pool) drop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w := p.firstWaiter(); w != nil && !p.closed {
-		w <- grant{}
-		return
+	if p.open <= p.limit && !p.closed {
+		if w := p.firstWaiter(); w != nil {
+			w <- grant{}
+			return
+		}
 	}
 	p.open--
 }
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -63,7 +63,7 @@
 // probe asks the same replica again on a new connection, for a few shards of a query that nothing has answered yet.
 func (q *Query) probe(now time.Time, shard int32, out []Action) []Action {
 	s := &q.shards[shard]
-	if len(q.lost) > 0 || q.probes >= CanaryProbes {
+	if len(q.lost) > 0 || q.probes >= q.plan.Probes {
 		return out
 	}
 	q.probes++
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -21,6 +21,7 @@
 	Patience      time.Time
 	LeastCoverage float64
 	KnownGood     bool
+	Probes        int
 }
 
 // Seams are the decisions that a query takes from the state it shares with others.
@@ -122,7 +123,11 @@
 	return q.settle(now, out)
 }
 
+// start sends to every shard, unless there is no time left in which anything could be answered.
 func (q *Query) start(now time.Time, out []Action) []Action {
+	if !now.Before(q.plan.Deadline) {
+		return out
+	}
 	for i := range q.shards {
 		out = q.sendElsewhere(now, int32(i), Primary, out)
 	}
--- a/gatherer/query_test.go
+++ b/gatherer/query_test.go
@@ -37,7 +37,7 @@
 
 func newBench(n, tokens int, change func(*bench, *Plan)) *bench {
 	b := &bench{now: epoch, tokens: tokens, hold: HoldUntilCleared, matches: MatchesExactly}
-	plan := Plan{Request: "r", Snapshot: 7, Deadline: epoch.Add(100 * time.Millisecond), Patience: epoch.Add(100 * time.Millisecond), LeastCoverage: 1}
+	plan := Plan{Request: "r", Snapshot: 7, Deadline: epoch.Add(100 * time.Millisecond), Patience: epoch.Add(100 * time.Millisecond), LeastCoverage: 1, Probes: CanaryProbes}
 	for i := range n {
 		plan.Shards = append(plan.Shards, Shard{Name: modeler.ShardName(fmt.Sprint("s", i)), Documents: 10})
 	}
@@ -149,6 +149,7 @@
 		{name: "patience waits without enough coverage", shards: 4, change: func(_ *bench, p *Plan) {
 			p.Patience, p.LeastCoverage = epoch.Add(20*time.Millisecond), 0.75
 		}, play: func(b *bench) { b.answer(0); b.answer(1); b.wait(21 * time.Millisecond) }, sent: 4, answered: 2},
+		{name: "nothing is sent when no time is left", shards: 2, change: func(_ *bench, p *Plan) { p.Deadline = epoch }, play: func(*bench) {}, done: true},
 		{name: "caller gone ends it", shards: 2, play: func(b *bench) { b.do(Event{Kind: EventGone}) }, sent: 2, done: true},
 	}
 	for _, tt := range tests {
--- a/gossiper/node.go
+++ b/gossiper/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -246,6 +247,7 @@
 	return "", false
 }
 
+// shuffle sorts before it shuffles, so that the order depends on the random source alone.
 func (n *Node) shuffle() {
 	n.order, n.position = n.order[:0], 0
 	for name, p := range n.peers {
@@ -253,6 +255,7 @@
 			n.order = append(n.order, name)
 		}
 	}
+	slices.Sort(n.order)
 	for i := len(n.order) - 1; i > 0; i-- {
 		j := n.random(i + 1)
 		n.order[i], n.order[j] = n.order[j], n.order[i]
--- a/relayer/relayed.go
+++ b/relayer/relayed.go
@@ -28,7 +28,7 @@
 	result scatterer.Result
 }
 
-// relayed is one query that is run through relays; its state machine has parts in place of shards.
+// relayed is one query that is run through relays; its state machine has parts in place of shards. It probes none before the first answer: a relay that ran a part again would reach other replicas.
 type relayed struct {
 	s       *Spreader
 	req     scatterer.Request
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -62,7 +62,7 @@
 func (r *replay) plan() gatherer.Plan {
 	n := r.trace.Plan.Plan
 	p := gatherer.Plan{
-		Request: r.trace.Plan.Request, Snapshot: n.Snapshot, LeastCoverage: n.LeastCoverage, KnownGood: n.KnownGood,
+		Request: r.trace.Plan.Request, Snapshot: n.Snapshot, LeastCoverage: n.LeastCoverage, KnownGood: n.KnownGood, Probes: gatherer.CanaryProbes,
 		Deadline: r.now.Add(n.Deadline.Duration), Patience: r.now.Add(n.Patience.Duration),
 	}
 	for _, s := range n.Shards {
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -79,6 +79,7 @@
 		Deadline:      r.req.Deadline,
 		Patience:      r.req.Deadline,
 		LeastCoverage: policy.LeastCoverage,
+		Probes:        gatherer.CanaryProbes,
 		KnownGood:     r.s.Quarantine.KnownGood(r.print.At(r.req.Snapshot.ID), now),
 	}
 	if policy.Patience.Duration > 0 {
