Blame searchers that answer wrongly, and judge by bystanders of the same services

Wrong, corrupt and rejecting answers never ejected a searcher, a shedding one looked fast because it was never measured, and one shedding searcher counted as pressure, which stops retries. Ruled out: speed of the machine. Change: each counts as a failure; shed counts as a slow answer; pressure needs more than an eighth of the attempts.

A relay took searchers that another relay's part had crashed for dead bystanders and called the request innocent. Bystanders are now of the services of the own part.

--- a/faker/expect.go
+++ b/faker/expect.go
@@ -73,6 +73,8 @@
 		return float64(t.Partial), s.explain(t.Last), nil
 	case "errors":
 		return float64(t.Errors), "", nil
+	case "complete-share":
+		return float64(t.Complete) / float64(max(1, t.Complete+t.Partial)), s.explain(t.Last), nil
 	case "refused":
 		n := 0
 		for _, c := range t.Refused {
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -7,6 +7,7 @@
 	InitialLatency   = 2 * time.Millisecond
 	LatencyWeight    = 0.2
 	PeakFactor       = 3.0
+	ShedLatency      = 100 * time.Millisecond
 	CensoredFactor   = 2.0
 	ForgetLatency    = 10 * time.Second
 	EjectAfter       = 3
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -70,6 +70,14 @@
 	s.news.Add(1)
 }
 
+// Shed ends an attempt that the searcher refused because of its load; it counts as a slow one.
+func (s *Searcher) Shed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.inflight--
+	s.latency, s.learned = max(s.latency, float64(ShedLatency)), now
+}
+
 // Ended ends an attempt that says nothing of the searcher's health.
 func (s *Searcher) Ended() {
 	s.mu.Lock()
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -193,18 +193,9 @@
 	defer closeFront()
 	v.join(ctx)
 
-	background := []<-chan error{
-		spawner.Go(life, v.gossip.Run),
-		spawner.Go(life, v.watcher.Run),
-		spawner.Go(life, func(ctx context.Context) error { return v.watcher.RunListing(ctx, v.cfg.ListPeriod.Duration) }),
-		spawner.Go(life, v.pull),
-		spawner.Go(life, v.upkeep),
-		spawner.Go(life, v.synchronize),
-		spawner.Go(life, v.servePeers),
-		spawner.Go(life, v.serveOperators),
-	}
+	background, failed := v.startParts(life)
 	callers := spawner.Go(front, v.serveCallers)
-	err := v.untilEnd(ctx, callers)
+	err := v.untilEnd(ctx, callers, failed)
 	v.draining.Store(true)
 	v.recorder.Record(recorder.Event{Kind: recorder.ProcessDraining})
 	klog.Infof("vm: %s drains", v.cfg.Name)
@@ -224,10 +215,32 @@
 	return err
 }
 
-func (v *VM) untilEnd(ctx context.Context, callers <-chan error) error {
+// startParts starts what runs behind the callers' port; failed reports a part that ends before its context.
+func (v *VM) startParts(ctx context.Context) (ends []<-chan error, failed <-chan error) {
+	parts := []func(context.Context) error{
+		v.gossip.Run, v.watcher.Run, v.pull, v.upkeep, v.synchronize, v.servePeers, v.serveOperators,
+		func(ctx context.Context) error { return v.watcher.RunListing(ctx, v.cfg.ListPeriod.Duration) },
+	}
+	early := make(chan error, len(parts))
+	for _, part := range parts {
+		ends = append(ends, spawner.Go(ctx, func(ctx context.Context) error {
+			err := part(ctx)
+			if ctx.Err() == nil {
+				early <- errors.Wrap(err, "a part ended early")
+			}
+			return err
+		}))
+	}
+	return ends, early
+}
+
+// untilEnd waits until the VM is told to end, or a part of it fails; an error from the callers' port itself leaves nothing to drain.
+func (v *VM) untilEnd(ctx context.Context, callers, failed <-chan error) error {
 	select {
 	case <-ctx.Done():
 	case <-v.drain:
+	case err := <-failed:
+		klog.Errorf("vm: %s ends: %v", v.cfg.Name, err)
 	case err := <-callers:
 		return errors.Wrap(err, "callers' server ended")
 	}
--- a/scatterer/judge.go
+++ b/scatterer/judge.go
@@ -9,26 +9,26 @@
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
-// Judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which searchers that it never reached are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if such searchers are dead, and undecided if they do not answer in time.
-func (s *Scatterer) Judge(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) gatherer.Verdict {
-	if first := s.judgeOnce(ctx, v, lost, reached); first != gatherer.Poisonous {
+// Judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which bystanders are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if the bystanders are dead, and undecided if they do not answer in time.
+func (s *Scatterer) Judge(ctx context.Context, v *planner.View, lost []int32, bystander func(int32) bool) gatherer.Verdict {
+	if first := s.judgeOnce(ctx, v, lost, bystander); first != gatherer.Poisonous {
 		return first
 	}
 	spawner.Sleep(ctx, RecheckAfter)
 	if ctx.Err() != nil {
 		return gatherer.Undecided
 	}
-	return s.judgeOnce(ctx, v, lost, reached)
+	return s.judgeOnce(ctx, v, lost, bystander)
 }
 
-func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, reached func(int32) bool) gatherer.Verdict {
+func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, bystander func(int32) bool) gatherer.Verdict {
 	losses := map[int32]int{}
 	for _, r := range lost {
 		losses[v.Searchers[r].Domain]++
 	}
 	inLive, inDead := 0, 0
 	for domain, n := range losses {
-		switch s.domain(ctx, v, domain, reached) {
+		switch s.domain(ctx, v, domain, bystander) {
 		case dialer.Alive:
 			inLive += n
 		case dialer.Dead:
@@ -44,14 +44,14 @@
 	return gatherer.Undecided
 }
 
-// domain asks a few searchers of a failure domain that the request never reached, and returns what most of them are.
-func (s *Scatterer) domain(ctx context.Context, v *planner.View, domain int32, reached func(int32) bool) dialer.Liveness {
+// domain asks a few bystanders of a failure domain, and returns what most of them are.
+func (s *Scatterer) domain(ctx context.Context, v *planner.View, domain int32, bystander func(int32) bool) dialer.Liveness {
 	count := map[dialer.Liveness]int{}
 	asked := 0
 	offset := s.random(len(v.Searchers))
 	for i := range v.Searchers {
 		n := int32((i + offset) % len(v.Searchers))
-		if asked == Bystanders || v.Searchers[n].Domain != domain || reached(n) {
+		if asked == Bystanders || v.Searchers[n].Domain != domain || !bystander(n) {
 			continue
 		}
 		asked++
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -22,6 +24,7 @@
 	event gatherer.Event
 	reply dialer.Reply
 	hits  []dialer.Hit
+	wrong bool
 }
 
 // run is one query under way.
@@ -201,7 +204,11 @@
 		Snapshot:  answer.Snapshot,
 		Documents: answer.Documents,
 	}
-	return end{reply: reply, hits: answer.Hits, event: gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: claim}}
+	shard := r.req.Snapshot.Shards[a.Shard]
+	wrong := !gatherer.MatchesExactly(gatherer.Claim{
+		Request: r.req.ID, Attempt: a.Attempt, Shard: shard.Name, Snapshot: r.req.Snapshot.ID, Documents: shard.Documents,
+	}, claim)
+	return end{reply: reply, hits: answer.Hits, wrong: wrong, event: gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: claim}}
 }
 
 // attemptOf returns the attempt of this run that an attempt id names, or -1; the prefix is random, for callers may use a request id again.
@@ -224,6 +231,8 @@
 		r.s.draining(searcher)
 	}
 	switch {
+	case e.wrong:
+		b.Failed(now, false)
 	case e.event.Kind == gatherer.EventAnswer:
 		b.Answered(now, took)
 		r.req.View.Services[searcher.Service].Belief.Record(took)
@@ -237,22 +246,32 @@
 		b.Ended()
 	case ctx.Err() != nil:
 		b.Cancelled(now, took)
-	case e.event.Fault == gatherer.FaultLost, e.event.Fault == gatherer.FaultNotSent && !e.reply.Late, e.event.Fault == gatherer.FaultSilent:
+	case e.event.Fault == gatherer.FaultShed && !e.reply.Late:
+		b.Shed(now)
+	case blamed(e):
 		b.Failed(now, e.event.Fault == gatherer.FaultNotSent)
 	default:
 		b.Ended()
 	}
 }
 
+// blamed reports whether a fault is the searcher's own: it could not be reached, went away, or answered what is no answer.
+func blamed(e *end) bool {
+	switch e.event.Fault {
+	case gatherer.FaultLost, gatherer.FaultSilent, gatherer.FaultCorrupt, gatherer.FaultRejected:
+		return true
+	case gatherer.FaultNotSent:
+		return !e.reply.Late
+	}
+	return false
+}
+
 // check asks bystanders whether the losses are the request's own doing.
 func (r *run) check(ctx context.Context) {
-	lost := append([]int32(nil), r.query.Lost()...)
-	reached := make(map[int32]bool, len(r.reached))
-	for k := range r.reached {
-		reached[k] = true
-	}
+	lost := slices.Clone(r.query.Lost())
+	bystander := r.bystanders()
 	go func() {
-		verdict := r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return reached[n] })
+		verdict := r.s.Judge(ctx, r.req.View, lost, bystander)
 		select {
 		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: verdict}}:
 		case <-ctx.Done():
@@ -260,6 +279,16 @@
 	}()
 }
 
+// bystanders returns which searchers may be asked: those of the services of this run that it never reached. Searchers of other services may be reached by another relay's part of the same query.
+func (r *run) bystanders() func(int32) bool {
+	reached := maps.Clone(r.reached)
+	services := map[int32]bool{}
+	for _, h := range r.req.Snapshot.Shards {
+		services[h.Service] = true
+	}
+	return func(n int32) bool { return services[r.req.View.Searchers[n].Service] && !reached[n] }
+}
+
 // judgeLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
 func (r *run) judgeLate(ctx context.Context) {
 	lost := r.query.Lost()
@@ -268,7 +297,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
 	defer cancel()
-	if r.s.Judge(ctx, r.req.View, lost, func(n int32) bool { return r.reached[n] }) == gatherer.Poisonous {
+	if r.s.Judge(ctx, r.req.View, lost, r.bystanders()) == gatherer.Poisonous {
 		r.quarantine()
 	}
 }
--- a/server/search.go
+++ b/server/search.go
@@ -190,13 +190,21 @@
 	}
 	defer s.Admitter.Release(x.Team)
 	res := s.run(ctx, in, v, x)
-	s.Admitter.Observe(time.Now(), res.Sent, res.Shed+s.Starved()+widelyMissing(&res))
+	s.Admitter.Observe(time.Now(), res.Sent, s.Starved()+widely(res.Shed, res.Sent)+widelyMissing(&res))
 	return res, nil
 }
 
 // widelyMissing returns the shards without an answer if they are too many to be the loss of a few services: then searchers are behind.
 func widelyMissing(res *scatterer.Result) int {
-	if n := res.Shards - res.Answered; !res.Crashed && n > 1 && n*LostServices > res.Shards {
+	if res.Crashed {
+		return 0
+	}
+	return widely(res.Shards-res.Answered, res.Shards)
+}
+
+// widely returns n if it is too large a part of the whole to come from a few searchers.
+func widely(n, of int) int {
+	if n > 1 && n*LostServices > of {
 		return n
 	}
 	return 0
