Let a shard denied its hedge fall back on the retry budget

Cause: all connections silent every 2 s left p99 at the deadline. The time line of a partial search showed branch-portal unanswered with no hedge until the deadline: the hedge budget was spent. Ruled out: finding the silent connections (the other 26 shards answered). Change: denied twice, a shard takes from the retry budget, on a new connection.

--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -47,13 +47,13 @@
 	}
 	purpose := Hedge
 	switch {
-	case s.hedges > 0:
+	case s.hedges > 0 || s.denied > 1:
 		purpose = Probe
-	case s.denied:
+	case s.denied > 0:
 		purpose = LateHedge
 	}
 	if !ok || !q.seams.Spend(now, purpose) {
-		s.denied = true
+		s.denied = min(s.denied+1, MaxHedges)
 		return out
 	}
 	s.hedges++
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -53,7 +53,7 @@
 	tries   uint8
 	open    uint8
 	hedges  uint8
-	denied  bool
+	denied  uint8
 	fault   Fault
 	tried   [MaxTries]int32
 	hedgeAt time.Time
--- a/gatherer/query_test.go
+++ b/gatherer/query_test.go
@@ -163,6 +163,22 @@
 	}
 }
 
+func TestStragglerFallsBackOnTheRetryBudget(t *testing.T) {
+	b := newBench(2, 0, nil)
+	var asked []Purpose
+	b.q.seams.Spend = func(_ time.Time, p Purpose) bool {
+		asked = append(asked, p)
+		return p == Probe
+	}
+	b.answer(0)
+	for range 4 {
+		b.wait(11 * time.Millisecond)
+	}
+	if len(b.sent) != 3+1 || fmt.Sprint(asked[:3]) != "[hedge late-hedge probe]" {
+		t.Errorf("asked for %v and sent %d", asked, len(b.sent))
+	}
+}
+
 func TestQueryJudgesLosses(t *testing.T) {
 	lose := func(v Verdict) *bench {
 		b := newBench(4, 9, nil)
