Apply connection budgets when the fleet changes, not a round later

Pools kept the budget of a fleet of one until the next upkeep, which a busy machine delayed. Change: a changed membership or list applies the budgets at once.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -297,6 +297,15 @@
 	}
 }
 
+// Rebudget applies the budgets at once, when the VMs that share them have changed.
+func (d *Dialer) Rebudget() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for a, p := range d.pools {
+		p.trim(d.now(), d.budget(a))
+	}
+}
+
 // Open returns how many connections the VM holds, and how many calls wait for one.
 func (d *Dialer) Open() (open, waiting int) {
 	d.mu.Lock()
--- a/runner/neighbours.go
+++ b/runner/neighbours.go
@@ -165,4 +165,5 @@
 		v.relays.Forget(m.Address)
 	}
 	v.refreshCrowd()
+	v.dialer.Rebudget()
 }
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -91,7 +91,11 @@
 
 // listed takes in the platform's lagging list.
 func (v *VM) listed(l modeler.Listing) {
+	before := v.fleet()
 	v.listing.Store(&l)
+	if v.fleet() != before {
+		v.dialer.Rebudget()
+	}
 	now := time.Now()
 	for _, a := range l.Leaving {
 		if v.observer.Searcher(a).Drain(now) {
