An answer to earlier work does not end a searcher's draining

A searcher told of by its load endpoint alone answered an attempt sent before, without the header, and was taken back until the next ping. Shown by a case in TestSearcherDraining. Change: only work sent after counts.

--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -43,7 +43,11 @@
 	if !s.Draining(epoch.Add(DrainingMemory - 1)) {
 		t.Error("draining is forgotten too early")
 	}
-	s.Returned(epoch.Add(time.Second))
+	s.Returned(epoch.Add(time.Second), epoch.Add(-time.Second))
+	if !s.Draining(epoch.Add(time.Second)) {
+		t.Error("an answer to work sent before must not end the draining")
+	}
+	s.Returned(epoch.Add(time.Second), epoch.Add(time.Second/2))
 	if s.Draining(epoch.Add(time.Second)) {
 		t.Error("a searcher that takes work again is not draining")
 	}
@@ -72,8 +76,8 @@
 		t.Error("a full set of slots must double the cost")
 	}
 	cold := o.Searcher(netip.MustParseAddrPort("10.0.0.3:7000"))
-	cold.Drain(epoch)
-	cold.Returned(epoch)
+	cold.Drain(epoch.Add(-time.Second))
+	cold.Returned(epoch, epoch)
 	if cold.Cost(epoch, 2, 0) != ColdPenalty*float64(InitialLatency) {
 		t.Error("a cold searcher must start slowly")
 	}
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -100,11 +100,11 @@
 	return fresh
 }
 
-// Returned records that the searcher itself answered new work after it was believed to be leaving.
-func (s *Searcher) Returned(now time.Time) {
+// Returned records that the searcher answered work that was sent after it was believed to be leaving; an answer to earlier work says nothing.
+func (s *Searcher) Returned(now, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Before(s.draining) {
+	if now.Before(s.draining) && sent.After(s.since) {
 		s.draining = now
 		s.cold = now
 		s.news.Add(1)
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -237,7 +237,7 @@
 		b.Answered(now, took)
 		r.req.View.Services[searcher.Service].Belief.Record(took)
 		if !e.reply.Draining {
-			b.Returned(now)
+			b.Returned(now, now.Add(-took))
 		}
 	case ctx.Err() != nil && e.event.Fault == gatherer.FaultNotSent:
 		if !now.Before(r.req.Deadline) {
