--- a/configurer/store.go
+++ b/configurer/store.go
@@ -35,6 +35,7 @@
 	parsed   modeler.Configuration
 	refused  Value
 	reason   string
+	leaving  []modeler.Registration
 }
 
 // Store holds the values in force on one VM.
@@ -44,6 +45,8 @@
 	head    modeler.Revision
 	since   time.Time
 	newer   func(offered, held modeler.Revision) bool
+	decode  func(key string, text []byte) (modeler.Configuration, error)
+	hold    time.Duration
 }
 
 // Option changes a Store under construction.
@@ -54,11 +57,20 @@
 	return func(s *Store) { s.newer = f }
 }
 
+// WithDecode sets the format of the values.
+func WithDecode(f func(key string, text []byte) (modeler.Configuration, error)) Option {
+	return func(s *Store) { s.decode = f }
+}
+
+// WithHold sets for how long a searcher stays in use after its registration is gone or says that it leaves.
+func WithHold(d time.Duration) Option { return func(s *Store) { s.hold = d } }
+
 // NewStore makes an empty store.
 func NewStore(options ...Option) *Store {
 	s := &Store{
 		entries: map[string]*entry{},
 		newer:   func(offered, held modeler.Revision) bool { return offered > held },
+		decode:  decode,
 	}
 	for _, o := range options {
 		o(s)
@@ -71,7 +83,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, v := range values {
-		r, c := s.offer(v)
+		r, c := s.offer(now, v)
 		changed = changed || c
 		if r != nil {
 			refused = append(refused, *r)
@@ -86,7 +98,23 @@
 	return refused, changed
 }
 
-func (s *Store) offer(v Value) (*Refusal, bool) {
+// Replace takes in all values as of a revision; a key that is missing and was not changed later is deleted.
+func (s *Store) Replace(now time.Time, at modeler.Revision, values []Value) (refused []Refusal, changed bool) {
+	listed := make(map[string]bool, len(values))
+	for _, v := range values {
+		listed[v.Key] = true
+	}
+	s.mu.Lock()
+	for k, e := range s.entries {
+		if !listed[k] && e.accepted.Revision <= at && (len(e.accepted.Text) > 0 || e.accepted.Revision == 0) {
+			values = append(values, Value{Key: k, Revision: max(at, e.accepted.Revision+1)})
+		}
+	}
+	s.mu.Unlock()
+	return s.Offer(now, at, values)
+}
+
+func (s *Store) offer(now time.Time, v Value) (*Refusal, bool) {
 	e := s.entries[v.Key]
 	if e == nil {
 		e = &entry{}
@@ -95,7 +123,7 @@
 	if !s.newer(v.Revision, e.accepted.Revision) || v.Revision == e.refused.Revision {
 		return nil, false
 	}
-	parsed, err := parse(v)
+	parsed, err := s.parse(v)
 	if err != nil {
 		if v.Revision < e.refused.Revision {
 			return nil, false
@@ -103,18 +131,63 @@
 		e.refused, e.reason = v, err.Error()
 		return &Refusal{v.Key, v.Revision, e.reason}, false
 	}
+	e.leave(now, parsed, s.hold)
 	e.accepted, e.parsed = v, parsed
+	if parsed.Ignored != "" {
+		return &Refusal{v.Key, v.Revision, parsed.Ignored}, true
+	}
 	return nil, true
 }
 
-func parse(v Value) (modeler.Configuration, error) {
+// leave keeps the searcher that a new value no longer registers as ready, until the hold is over.
+func (e *entry) leave(now time.Time, next modeler.Configuration, hold time.Duration) {
+	if hold == 0 || (len(next.Registrations) > 0 && !next.Registrations[0].Leaving) {
+		e.leaving = nil
+	} else {
+		for _, r := range e.parsed.Registrations {
+			if r.Leaving {
+				continue
+			}
+			r.Leaving, r.Until = true, now.Add(hold)
+			e.leaving = []modeler.Registration{r}
+		}
+	}
+	for i := range next.Registrations {
+		next.Registrations[i].Seen = now
+		if next.Registrations[i].Leaving {
+			next.Registrations[i].Until = now
+		}
+	}
+}
+
+// inForce returns the value, or the registration that is still held, without what has run out.
+func (e *entry) inForce(now time.Time) modeler.Configuration {
+	registrations := e.parsed.Registrations
+	if len(e.leaving) > 0 {
+		registrations = e.leaving
+	}
+	if len(registrations) == 0 {
+		return e.parsed
+	}
+	if r := registrations[0]; r.Leaving && !now.Before(r.Until) {
+		return modeler.Configuration{}
+	}
+	return modeler.Configuration{Registrations: registrations}
+}
+
+func (s *Store) parse(v Value) (modeler.Configuration, error) {
 	if len(v.Text) == 0 {
 		return modeler.Configuration{}, nil
 	}
 	if len(v.Text) > MaxValueBytes {
 		return modeler.Configuration{}, parser.Faults{{File: v.Key, Line: 1, Column: 1, Reason: "is larger than a megabyte"}}
 	}
-	return parser.Decode[modeler.Configuration](v.Key, v.Text)
+	return s.decode(v.Key, v.Text)
+}
+
+// decode reads the tier's own format.
+func decode(key string, text []byte) (modeler.Configuration, error) {
+	return parser.Decode[modeler.Configuration](key, text)
 }
 
 // Head returns the revision up to which the store is complete.
@@ -146,7 +219,7 @@
 	defer s.mu.Unlock()
 	out := make([]modeler.Configuration, 0, len(s.entries))
 	for _, k := range s.keys() {
-		out = append(out, s.entries[k].parsed)
+		out = append(out, s.entries[k].inForce(time.Now()))
 	}
 	return s.head, out
 }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -1,12 +1,10 @@
 package dialer
 
 import (
-	"bytes"
 	"context"
 	"net"
+	"net/http"
 	"net/netip"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -27,6 +25,7 @@
 	dial    func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	retired func(addr netip.AddrPort, detail string)
 	silence silence
+	wire    Wire
 }
 
 // Option changes a Dialer under construction.
@@ -43,10 +42,14 @@
 	return func(d *Dialer) { d.retired = f }
 }
 
+// WithWire sets how requests and answers look.
+func WithWire(w Wire) Option { return func(d *Dialer) { d.wire = w } }
+
 // NewDialer makes a dialer whose connections leave from the local address.
 func NewDialer(local netip.Addr, options ...Option) *Dialer {
-	from := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))}
+	from := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0)), KeepAlive: -1, Control: DetectSilence}
 	d := &Dialer{
+		wire:    OwnWire(),
 		pools:   map[netip.AddrPort]*pool{},
 		budget:  func(netip.AddrPort) int { return 1 },
 		now:     time.Now,
@@ -75,6 +78,16 @@
 	Proven   bool
 	Fresh    bool
 	Linger   time.Duration
+	Expect   modeler.SearcherName
+	Message  *Message
+}
+
+// Message is the part of a caller's request that is passed on unchanged.
+type Message struct {
+	Method string
+	Target string
+	Host   string
+	Header http.Header
 }
 
 // Reply is what came back of a call.
@@ -84,6 +97,10 @@
 	Draining bool
 	Held     []modeler.SnapshotID
 	Late     bool
+
+	Status      int
+	Stamp       string
+	ContentType string
 }
 
 // Do sends a call on one connection and returns what came back; it never sends twice.
@@ -100,13 +117,18 @@
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
-	d.fill(req, call)
+	d.wire.Fill(req, &call, call.Deadline.Sub(d.now()))
+	res.SkipBody = req.Header.IsHead()
 	sent := d.now()
 	if silent, err := c.exchange(ctx, req, res, call.Linger); err != nil {
 		return Reply{Fault: d.failed(ctx, p, c, sent, silent)}
 	}
-	d.give(p, c, res)
-	r := read(res)
+	r := d.wire.Read(res, &call)
+	if r.Fault == gatherer.FaultCrossed || c.r.Buffered() > 0 {
+		p.retire(c, time.Time{})
+	} else {
+		d.give(p, c, res)
+	}
 	if r.Fault == gatherer.FaultNotSent {
 		p.refused(d.now())
 	}
@@ -153,73 +175,6 @@
 	return gatherer.FaultSilent
 }
 
-// fill writes a call into a request.
-func (d *Dialer) fill(req *fasthttp.Request, call Call) {
-	left := call.Deadline.Sub(d.now()).Milliseconds()
-	req.SetRequestURI(call.Path)
-	h := &req.Header
-	h.SetMethod(fasthttp.MethodPost)
-	h.SetHost(call.Address.String())
-	h.SetUserAgent(userAgent)
-	h.SetContentType("application/json")
-	h.Set(HeaderRequest, string(call.Request))
-	h.Set(HeaderAttempt, call.Attempt)
-	h.Set(HeaderDeadline, strconv.FormatInt(max(1, left), 10))
-	h.Set(HeaderDeadlineAt, strconv.FormatInt(call.Deadline.UnixMilli(), 10))
-	if call.Shard != "" {
-		h.Set(HeaderIndex, string(call.Index))
-		h.Set(HeaderShard, string(call.Shard))
-		h.Set(HeaderSnapshot, strconv.FormatUint(uint64(call.Snapshot), 10))
-	}
-	req.SetBodyRaw(call.Body)
-}
-
-func read(res *fasthttp.Response) Reply {
-	r := Reply{
-		Body:     bytes.Clone(res.Body()),
-		Draining: string(res.Header.Peek(HeaderDraining)) == "true",
-		Held:     parseHeld(string(res.Header.Peek(HeaderHeld))),
-	}
-	if check := res.Header.Peek(HeaderCheck); len(check) > 0 && string(check) != CheckValue(r.Body) {
-		r.Fault = gatherer.FaultCorrupt
-		return r
-	}
-	if res.StatusCode() == fasthttp.StatusOK {
-		return r
-	}
-	r.Fault = gatherer.FaultRejected
-	refusal, err := parser.DecodeStrict[SearcherRefusal](r.Body)
-	if err != nil {
-		return r
-	}
-	switch refusal.Kind {
-	case RefusedDraining:
-		r.Fault, r.Draining = gatherer.FaultDraining, true
-	case RefusedShedding, RefusedLate:
-		r.Fault, r.Late = gatherer.FaultShed, refusal.Kind == RefusedLate
-	case RefusedNotHeld:
-		r.Fault = gatherer.FaultNotHeld
-	case RefusedLimit:
-		r.Fault = gatherer.FaultNotSent
-	}
-	return r
-}
-
-func parseHeld(s string) []modeler.SnapshotID {
-	if s == "" {
-		return nil
-	}
-	var ids []modeler.SnapshotID
-	for part := range strings.SplitSeq(s, ",") {
-		id, err := strconv.ParseUint(part, 10, 64)
-		if err != nil {
-			return nil
-		}
-		ids = append(ids, modeler.SnapshotID(id))
-	}
-	return ids
-}
-
 // Ping asks the searcher's load endpoint on the connection that was idle for longest, or on a new one, so that a silent connection is found before a request uses it.
 func (d *Dialer) Ping(ctx context.Context, addr netip.AddrPort, timeout time.Duration) (Load, error) {
 	p := d.pool(addr)
@@ -264,14 +219,18 @@
 	Dead
 )
 
-// Check asks the searcher's load endpoint on a new connection.
+// Check asks the searcher's load endpoint, if it has one, on a new connection.
 func (d *Dialer) Check(ctx context.Context, addr netip.AddrPort, timeout time.Duration) Liveness {
 	p := d.pool(addr)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c, err := p.take(ctx, d.now(), time.Time{}, newOnly)
-	if err == nil {
+	switch {
+	case err != nil:
+	case d.wire.HasLoad:
 		_, err = d.load(ctx, p, c)
+	default:
+		p.put(c, d.now())
 	}
 	switch {
 	case err == nil:
--- /dev/null
+++ b/dialer/own.go
@@ -0,0 +1,92 @@
+package dialer
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/parser"
+)
+
+// Wire is how requests to searchers and their answers look.
+type Wire struct {
+	Fill    func(req *fasthttp.Request, call *Call, left time.Duration)
+	Read    func(res *fasthttp.Response, call *Call) Reply
+	HasLoad bool // whether searchers have a load endpoint
+}
+
+// OwnWire returns the searcher protocol of the tier itself.
+func OwnWire() Wire {
+	return Wire{HasLoad: true, Fill: fill, Read: func(res *fasthttp.Response, _ *Call) Reply { return read(res) }}
+}
+
+// fill writes a call into a request.
+func fill(req *fasthttp.Request, call *Call, left time.Duration) {
+	req.SetRequestURI(call.Path)
+	h := &req.Header
+	h.SetMethod(fasthttp.MethodPost)
+	h.SetHost(call.Address.String())
+	h.SetUserAgent(userAgent)
+	h.SetContentType("application/json")
+	h.Set(HeaderRequest, string(call.Request))
+	h.Set(HeaderAttempt, call.Attempt)
+	h.Set(HeaderDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	h.Set(HeaderDeadlineAt, strconv.FormatInt(call.Deadline.UnixMilli(), 10))
+	if call.Shard != "" {
+		h.Set(HeaderIndex, string(call.Index))
+		h.Set(HeaderShard, string(call.Shard))
+		h.Set(HeaderSnapshot, strconv.FormatUint(uint64(call.Snapshot), 10))
+	}
+	req.SetBodyRaw(call.Body)
+}
+
+func read(res *fasthttp.Response) Reply {
+	r := Reply{
+		Body:     bytes.Clone(res.Body()),
+		Draining: string(res.Header.Peek(HeaderDraining)) == "true",
+		Held:     parseHeld(string(res.Header.Peek(HeaderHeld))),
+	}
+	if check := res.Header.Peek(HeaderCheck); len(check) > 0 && string(check) != CheckValue(r.Body) {
+		r.Fault = gatherer.FaultCorrupt
+		return r
+	}
+	if res.StatusCode() == fasthttp.StatusOK {
+		return r
+	}
+	r.Fault = gatherer.FaultRejected
+	refusal, err := parser.DecodeStrict[SearcherRefusal](r.Body)
+	if err != nil {
+		return r
+	}
+	switch refusal.Kind {
+	case RefusedDraining:
+		r.Fault, r.Draining = gatherer.FaultDraining, true
+	case RefusedShedding, RefusedLate:
+		r.Fault, r.Late = gatherer.FaultShed, refusal.Kind == RefusedLate
+	case RefusedNotHeld:
+		r.Fault = gatherer.FaultNotHeld
+	case RefusedLimit:
+		r.Fault = gatherer.FaultNotSent
+	}
+	return r
+}
+
+func parseHeld(s string) []modeler.SnapshotID {
+	if s == "" {
+		return nil
+	}
+	var ids []modeler.SnapshotID
+	for part := range strings.SplitSeq(s, ",") {
+		id, err := strconv.ParseUint(part, 10, 64)
+		if err != nil {
+			return nil
+		}
+		ids = append(ids, modeler.SnapshotID(id))
+	}
+	return ids
+}
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -7,19 +7,20 @@
 
 // The faults of an attempt.
 const (
-	FaultNone     Fault = iota
-	FaultNotSent        // the connection never opened
-	FaultShed           // the searcher refused before it ran anything
-	FaultDraining       // the searcher is leaving and ran nothing
-	FaultNotHeld        // the searcher does not hold the snapshot
-	FaultLost           // the connection ended after the request may have arrived
-	FaultSilent         // no byte came back in time
-	FaultCorrupt        // the answer's check value or shape is wrong
-	FaultCrossed        // the answer belongs to another attempt
-	FaultRejected       // the searcher answered an error
+	FaultNone        Fault = iota
+	FaultNotSent           // the connection never opened
+	FaultShed              // the searcher refused before it ran anything
+	FaultDraining          // the searcher is leaving and ran nothing
+	FaultNotHeld           // the searcher does not hold the snapshot
+	FaultLost              // the connection ended after the request may have arrived
+	FaultSilent            // no byte came back in time
+	FaultCorrupt           // the answer's check value or shape is wrong
+	FaultCrossed           // the answer belongs to another attempt
+	FaultRejected          // the searcher answered an error
+	FaultMisdirected       // another searcher has the address and ran nothing
 )
 
-var faultNames = [...]string{"none", "not-sent", "shed", "draining", "not-held", "lost", "silent", "corrupt", "crossed", "rejected"}
+var faultNames = [...]string{"none", "not-sent", "shed", "draining", "not-held", "lost", "silent", "corrupt", "crossed", "rejected", "misdirected"}
 
 // String returns the kebab-case name of the fault.
 func (f Fault) String() string { return faultNames[f] }
@@ -36,7 +37,7 @@
 
 // NotRun reports whether the fault proves that the attempt was not run.
 func (f Fault) NotRun() bool {
-	return f == FaultNotSent || f == FaultShed || f == FaultDraining || f == FaultNotHeld
+	return f == FaultNotSent || f == FaultShed || f == FaultDraining || f == FaultNotHeld || f == FaultMisdirected
 }
 
 // Claim is what a sub-answer says of itself.
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -10,7 +10,7 @@
 	q.nextHedge = q.plan.Deadline
 	for i := range q.shards {
 		s := &q.shards[i]
-		if s.phase != shardOpen || s.hedges == MaxHedges {
+		if s.phase != shardOpen || s.hedges == MaxHedges || q.plan.AtMostOnce {
 			continue
 		}
 		if !now.Before(s.hedgeAt) {
@@ -34,7 +34,7 @@
 // hedge sends a straggling shard to another replica, and later once more on a new connection, for all open ones may be silent; before the first answer it goes to the same replica on a new connection, so that a crashing request never reaches a second one.
 func (q *Query) hedge(now time.Time, shard int32, out []Action) []Action {
 	s := &q.shards[shard]
-	if int(s.tries) >= MaxTries {
+	if !q.mayTry(s) {
 		s.hedges = MaxHedges
 		return out
 	}
@@ -52,7 +52,7 @@
 	case s.denied > 0:
 		purpose = LateHedge
 	}
-	if !ok || !q.seams.Spend(now, purpose) {
+	if !ok || !q.seams.Spend(now, shard, purpose) {
 		s.denied = min(s.denied+1, MaxHedges)
 		return out
 	}
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -22,12 +22,16 @@
 	LeastCoverage float64
 	KnownGood     bool
 	Probes        int
+	MaxRuns       int  // attempts of one shard that may have run; 0 means MaxTries
+	AtMostOnce    bool // no attempt follows one that may have run
+	WholeOrNone   bool // the query ends once the least coverage is out of reach
+	CountRefusals bool // an attempt after a refusal is paid for like any other
 }
 
 // Seams are the decisions that a query takes from the state it shares with others.
 type Seams struct {
 	Pick       func(now time.Time, shard int32, tried []int32) (searcher int32, ok bool)
-	Spend      func(now time.Time, p Purpose) bool
+	Spend      func(now time.Time, shard int32, p Purpose) bool
 	HedgeAfter func(shard int32) time.Duration
 	Hold       func(cleared bool) bool
 	Matches    func(want, got Claim) bool
@@ -51,6 +55,7 @@
 type shardState struct {
 	phase   phase
 	tries   uint8
+	runs    uint8
 	open    uint8
 	hedges  uint8
 	denied  uint8
@@ -81,6 +86,8 @@
 	checked      int
 	notHeld      bool
 	notSent      int
+	notRun       int
+	failed       int
 	cleared      bool
 	checking     bool
 	probes       int
@@ -175,6 +182,10 @@
 	if f == FaultNotSent {
 		q.notSent++
 	}
+	if f.NotRun() {
+		q.notRun++
+		s.runs--
+	}
 	if f == FaultLost {
 		q.lost = append(q.lost, a.searcher)
 	}
@@ -193,17 +204,39 @@
 	if s.open > 0 {
 		return out
 	}
-	free := s.fault == FaultDraining || s.fault == FaultNotHeld || s.fault == FaultNotSent
-	if int(s.tries) >= MaxTries || (!free && !q.seams.Spend(now, Retry)) {
+	if !q.mayTry(s) || !q.mayRetry(s) || (!q.isFree(s.fault) && !q.seams.Spend(now, shard, Retry)) {
 		q.giveUp(shard)
 		return out
 	}
 	return q.sendElsewhere(now, shard, Retry, out)
 }
 
+// mayTry reports whether another attempt of the shard stays within its bounds.
+func (q *Query) mayTry(s *shardState) bool {
+	return int(s.tries) < MaxTries && (q.plan.MaxRuns == 0 || int(s.runs) < q.plan.MaxRuns)
+}
+
+// mayRetry reports whether what the last attempt came to allows another one.
+func (q *Query) mayRetry(s *shardState) bool { return !q.plan.AtMostOnce || s.fault.NotRun() }
+
+// isFree reports whether an attempt after the fault is not paid for.
+func (q *Query) isFree(f Fault) bool {
+	if q.plan.CountRefusals {
+		return f == FaultNotSent
+	}
+	return f == FaultDraining || f == FaultNotHeld || f == FaultNotSent
+}
+
 func (q *Query) giveUp(shard int32) {
 	q.shards[shard].phase = shardFailed
 	q.settled++
+	q.failed++
+}
+
+// hopeless reports whether the least coverage is out of reach.
+func (q *Query) hopeless() bool {
+	n := len(q.shards)
+	return q.plan.WholeOrNone && float64(n-q.failed)/float64(n) < q.plan.LeastCoverage
 }
 
 func (q *Query) sendElsewhere(now time.Time, shard int32, p Purpose, out []Action) []Action {
@@ -222,6 +255,7 @@
 	s := &q.shards[shard]
 	s.tried[s.tries] = searcher
 	s.tries++
+	s.runs++
 	s.open++
 	s.hedgeAt = now.Add(q.seams.HedgeAfter(shard))
 	q.nextHedge = earlier(q.nextHedge, s.hedgeAt)
@@ -240,7 +274,7 @@
 		q.checked = len(q.lost)
 		out = append(out, Action{Kind: ActionCheck})
 	}
-	if q.settled == len(q.shards) || !now.Before(q.plan.Deadline) || q.enough(now) || q.stuck() {
+	if q.settled == len(q.shards) || !now.Before(q.plan.Deadline) || q.enough(now) || q.hopeless() || q.stuck() {
 		return q.finish(out)
 	}
 	return q.tick(now, out)
--- a/gatherer/query_test.go
+++ b/gatherer/query_test.go
@@ -53,7 +53,7 @@
 			}
 			return 0, false
 		},
-		Spend: func(time.Time, Purpose) bool {
+		Spend: func(time.Time, int32, Purpose) bool {
 			b.tokens--
 			return b.tokens >= 0
 		},
@@ -166,7 +166,7 @@
 func TestStragglerFallsBackOnTheRetryBudget(t *testing.T) {
 	b := newBench(2, 0, nil)
 	var asked []Purpose
-	b.q.seams.Spend = func(_ time.Time, p Purpose) bool {
+	b.q.seams.Spend = func(_ time.Time, _ int32, p Purpose) bool {
 		asked = append(asked, p)
 		return p == Probe
 	}
--- a/gatherer/result.go
+++ b/gatherer/result.go
@@ -35,6 +35,9 @@
 // Attempts returns how many attempts found a connection, and how many were the first of their shard.
 func (q *Query) Attempts() (sent, primaries int) { return len(q.attempts) - q.notSent, q.primaries }
 
+// MayHaveRun reports whether any attempt may have run on a searcher.
+func (q *Query) MayHaveRun() bool { return len(q.attempts) > q.notRun }
+
 // Sent returns how many attempts were asked for.
 func (q *Query) Sent() int { return len(q.attempts) }
 
--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -17,4 +17,6 @@
 	AdjustInterval     = 100 * time.Millisecond
 	ShedTolerance      = 0.02
 	MinSamples         = 10
+	SlackShare         = 0.8
+	HedgeShare         = 0.7
 )
--- a/modeler/configuration.go
+++ b/modeler/configuration.go
@@ -2,9 +2,13 @@
 
 // Configuration is the value of one key of the platform's configuration service.
 type Configuration struct {
-	Teams    []Team    `json:"teams,omitempty"`
-	Services []Service `json:"services,omitempty"`
-	Indexes  []Index   `json:"indexes,omitempty"`
+	Teams         []Team         `json:"teams,omitempty"`
+	Services      []Service      `json:"services,omitempty"`
+	Indexes       []Index        `json:"indexes,omitempty"`
+	Routes        []Route        `json:"routes,omitempty"`
+	Limits        *Limits        `json:"limits,omitempty"`
+	Registrations []Registration `json:"-"`
+	Ignored       string         `json:"-"`
 }
 
 // Check returns all faults that the content alone shows, so that every VM accepts or refuses alike.
@@ -19,6 +23,9 @@
 	for i, x := range c.Indexes {
 		x.check(&p, "indexes", i)
 	}
+	for i, r := range c.Routes {
+		r.check(&p, "routes", i)
+	}
 	unique(&p, "teams", c.Teams, func(t Team) string { return string(t.Name) })
 	unique(&p, "services", c.Services, func(s Service) string { return string(s.Name) })
 	unique(&p, "indexes", c.Indexes, func(x Index) string { return string(x.Name) })
--- a/modeler/service.go
+++ b/modeler/service.go
@@ -17,6 +17,7 @@
 	Name          SearcherName   `json:"name"`
 	Address       netip.AddrPort `json:"address"`
 	FailureDomain FailureDomain  `json:"failure-domain"`
+	Born          time.Time      `json:"-"`
 }
 
 // Service is a group of searchers that are replicas of each other.
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -7,6 +7,8 @@
 	InitialLatency   = 2 * time.Millisecond
 	LatencyWeight    = 0.2
 	PeakFactor       = 3.0
+	SlowAnswers      = 2
+	TypicalWeight    = 0.05
 	ShedLatency      = 100 * time.Millisecond
 	CensoredFactor   = 2.0
 	ForgetLatency    = 10 * time.Second
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
 )
@@ -37,6 +38,19 @@
 	return s
 }
 
+// Join returns what is believed of the searcher with the name, which belongs to the service; what was believed of another searcher at its address is forgotten.
+func (o *Observer) Join(a netip.AddrPort, name modeler.SearcherName, born time.Time, service *Service) *Searcher {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.searchers[a]
+	if s == nil || (s.name != "" && s.name != name) || !s.born.Equal(born) {
+		s = &Searcher{latency: service.Typical(), news: &o.generation}
+		o.searchers[a] = s
+	}
+	s.name, s.born, s.service = name, born, service
+	return s
+}
+
 // Service returns what is believed of the service.
 func (o *Observer) Service(n modeler.ServiceName) *Service {
 	o.mu.Lock()
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -17,7 +17,7 @@
 func TestSearcherEjection(t *testing.T) {
 	s := NewObserver().Searcher(addr)
 	fail := func(unreachable bool) {
-		s.Begin()
+		s.Begin(epoch)
 		s.Failed(epoch, unreachable)
 	}
 	fail(false)
@@ -57,10 +57,10 @@
 	o := NewObserver()
 	fast, slow := o.Searcher(addr), o.Searcher(netip.MustParseAddrPort("10.0.0.2:7000"))
 	for range 10 {
-		fast.Begin()
+		fast.Begin(epoch)
 		fast.Answered(epoch, 4*time.Millisecond)
 	}
-	slow.Begin()
+	slow.Begin(epoch)
 	slow.Cancelled(epoch, 20*time.Millisecond)
 	if slow.Cost(epoch, 2, 0) < 5*fast.Cost(epoch, 2, 0) {
 		t.Error("one cancelled hedge loser must make a searcher dear at once")
@@ -70,8 +70,8 @@
 		t.Error("a slow answer is never forgotten")
 	}
 	before := fast.Cost(epoch, 2, 0)
-	fast.Begin()
-	fast.Begin()
+	fast.Begin(epoch)
+	fast.Begin(epoch)
 	if fast.Cost(epoch, 2, 0) != 2*before {
 		t.Error("a full set of slots must double the cost")
 	}
@@ -139,7 +139,7 @@
 	runtime.ReadMemStats(&after)
 	s := o.Searcher(addr)
 	for b.Loop() {
-		s.Begin()
+		s.Begin(epoch)
 		s.Cost(epoch, 2, 0)
 		s.Answered(epoch, time.Millisecond)
 	}
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -25,12 +25,21 @@
 	told     bool
 	held     map[modeler.IndexName][]modeler.SnapshotID
 	news     *atomic.Uint64
+	name     modeler.SearcherName
+	born     time.Time
+	service  *Service
+	waiting  time.Time
+	slow     int
+	slowAt   time.Time
 }
 
 // Begin counts an attempt under way.
-func (s *Searcher) Begin() {
+func (s *Searcher) Begin(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.inflight == 0 {
+		s.waiting = now
+	}
 	s.inflight++
 }
 
@@ -41,9 +50,24 @@
 	s.inflight--
 	s.failures = 0
 	s.ejects = 0
+	s.waiting = now
 	s.learn(now, float64(latency))
 }
 
+// Stalled reports whether attempts are under way and none was answered for longer than the limit.
+func (s *Searcher) Stalled(now time.Time, limit time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inflight > 0 && now.Sub(s.waiting) > limit
+}
+
+// Warming records that the searcher is slow until the time, for it has just started.
+func (s *Searcher) Warming(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cold = until.Add(-SlowStart)
+}
+
 // Cancelled ends an attempt that was given up after the time; the searcher is slower than that.
 func (s *Searcher) Cancelled(now time.Time, after time.Duration) {
 	s.mu.Lock()
@@ -180,18 +204,33 @@
 	return State{s.inflight, modeler.Duration{Duration: time.Duration(s.latency)}, now.Before(s.draining), now.Before(s.ejected), held}
 }
 
-// learn takes a much slower answer at once and others by their weight.
+// learn takes answers by their weight, and much slower ones at once when they come again: a single pause delays all attempts that were under way, but none that was sent after it.
 func (s *Searcher) learn(now time.Time, latency float64) {
-	if latency > PeakFactor*s.latency {
-		s.latency = latency
-	} else {
+	defer func() { s.learned = now }()
+	peak := PeakFactor * s.expected(now)
+	if latency <= peak {
+		s.slow = 0
 		s.latency += LatencyWeight * (latency - s.latency)
+		return
+	}
+	if s.slow > 0 && now.Add(-time.Duration(latency)).Before(s.slowAt) {
+		return
 	}
-	s.learned = now
+	s.slow++
+	s.slowAt = now
+	if s.slow < SlowAnswers {
+		s.latency += LatencyWeight * (peak - s.latency)
+		return
+	}
+	s.latency = latency
 }
 
 // expected returns the latency, which is forgotten while nothing is learned, so that a searcher that was slow is tried again.
 func (s *Searcher) expected(now time.Time) float64 {
 	idle := max(0, now.Sub(s.learned))
-	return float64(InitialLatency) + (s.latency-float64(InitialLatency))*math.Exp(-float64(idle)/float64(ForgetLatency))
+	base := float64(InitialLatency)
+	if s.service != nil {
+		base = s.service.Typical()
+	}
+	return base + (s.latency-base)*math.Exp(-float64(idle)/float64(ForgetLatency))
 }
--- a/observer/service.go
+++ b/observer/service.go
@@ -1,7 +1,9 @@
 package observer
 
 import (
+	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -15,10 +17,18 @@
 	quantile float64
 	delay    time.Duration
 	computed time.Time
+	typical  atomic.Uint64
 }
 
 // NewService makes a service without samples; it takes memory for them only once there are some.
-func NewService() *Service { return &Service{delay: InitialHedge} }
+func NewService() *Service {
+	s := &Service{delay: InitialHedge}
+	s.typical.Store(math.Float64bits(float64(InitialLatency)))
+	return s
+}
+
+// Typical returns the usual latency of the service's answers in nanoseconds.
+func (s *Service) Typical() float64 { return math.Float64frombits(s.typical.Load()) }
 
 // Record adds the latency of one answer.
 func (s *Service) Record(latency time.Duration) {
@@ -28,6 +38,12 @@
 		s.latency = hdrhistogram.NewWindowed(LatencyWindows, 1, int64(MaxLatency/time.Microsecond), 1)
 	}
 	_ = s.latency.Current.RecordValue(min(int64(latency/time.Microsecond), int64(MaxLatency/time.Microsecond)))
+	typical := s.Typical()
+	if s.samples == 0 {
+		typical = float64(latency)
+	}
+	typical += TypicalWeight * (min(float64(latency), PeakFactor*typical) - typical)
+	s.typical.Store(math.Float64bits(typical))
 	s.samples++
 	if s.samples%WindowSamples == 0 {
 		s.latency.Rotate()
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -160,7 +160,7 @@
 	id := modeler.RequestID(s.Ticket)
 	attempt := s.Ticket + "." + strconv.Itoa(n)
 	o.recorder.Record(recorder.Event{Kind: recorder.OrderSent, Request: id, Attempt: int32(n), Searcher: r.Name})
-	r.Belief.Begin()
+	r.Belief.Begin(time.Now())
 	reply := o.dialer.Do(ctx, dialer.Call{
 		Address: r.Address, Path: "/v1/order", Request: id, Attempt: attempt, Deadline: s.Deadline, Body: s.Body, Proven: true,
 	})
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -15,9 +16,10 @@
 	Snapshot *Snapshot
 	Random   func(n int) int
 	Usable   func(searcher int32) bool
+	Stall    time.Duration
 }
 
-// Pick returns a replica of the shard that was not tried: the cheaper of two random ones that are usable, else of those ejected, never one that drains.
+// Pick returns a replica of the shard that was not tried: the cheapest that is usable, else of those ejected, never one that drains.
 func (p *Picker) Pick(now time.Time, shard int32, tried []int32) (int32, bool) {
 	service := p.Snapshot.Shards[shard].Service
 	if service < 0 {
@@ -32,6 +34,9 @@
 		}
 	}
 	ejected = len(all) - len(fit) - len(tried)
+	if better := p.responsive(now, fit); len(better) > 0 {
+		return p.cheaper(now, better, service)
+	}
 	if len(fit) == 0 || float64(ejected) > observer.MaxEjectedShare*float64(len(all)) {
 		fit = fit[:0]
 		for _, r := range all {
@@ -48,6 +53,9 @@
 		return false
 	}
 	b := p.View.Searchers[r].Belief
+	if until := p.View.Searchers[r].Until; !until.IsZero() && !now.Before(until) {
+		return false
+	}
 	if b.Draining(now) {
 		return false
 	}
@@ -55,22 +63,53 @@
 	return holds || !known
 }
 
+// responsive keeps the searchers that neither leave nor have left attempts unanswered for long.
+func (p *Picker) responsive(now time.Time, fit []int32) []int32 {
+	if p.Stall == 0 {
+		return nil
+	}
+	out := make([]int32, 0, len(fit))
+	for _, r := range fit {
+		s := &p.View.Searchers[r]
+		if s.Until.IsZero() && !s.Belief.Stalled(now, p.Stall) {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// cheaper returns the cheapest of the searchers; costs are spread a little, so that equal ones share the load.
 func (p *Picker) cheaper(now time.Time, fit []int32, service int32) (int32, bool) {
-	switch len(fit) {
-	case 0:
+	if len(fit) == 0 {
 		return 0, false
-	case 1:
-		return fit[0], true
 	}
-	i := p.Random(len(fit))
-	j := p.Random(len(fit) - 1)
-	if j >= i {
-		j++
+	if len(fit) > MaxCompared {
+		p.Shuffle(fit)
+		fit = fit[:MaxCompared]
 	}
 	slots := p.View.Services[service].Contract.Slots
-	a, b := &p.View.Searchers[fit[i]], &p.View.Searchers[fit[j]]
-	if a.Belief.Cost(now, slots, a.Link) <= b.Belief.Cost(now, slots, b.Link) {
-		return fit[i], true
+	best, least := fit[0], math.Inf(1)
+	for _, r := range fit {
+		s := &p.View.Searchers[r]
+		spread := 1 - CostSpread/2 + CostSpread*float64(p.Random(spreadSteps))/spreadSteps
+		if cost := s.Belief.Cost(now, slots, s.Link) * spread; cost < least {
+			best, least = r, cost
+		}
 	}
-	return fit[j], true
+	return best, true
 }
+
+// Shuffle puts the searchers in random order.
+func (p *Picker) Shuffle(list []int32) {
+	for i := len(list) - 1; i > 0; i-- {
+		j := p.Random(i + 1)
+		list[i], list[j] = list[j], list[i]
+	}
+}
+
+// Bounds of the comparison of searchers.
+const (
+	MaxCompared = 16
+	CostSpread  = 0.2
+	spreadSteps = 1000
+)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -89,7 +89,7 @@
 		{name: "not an ejected one", change: func(v *View) { eject(v, 0) }, allowed: []int32{1, 2}},
 		{name: "ejection is bounded", change: func(v *View) { eject(v, 0); eject(v, 1) }, allowed: []int32{0, 1, 2}},
 		{name: "the slow one never wins a pair", change: func(v *View) {
-			v.Searchers[0].Belief.Begin()
+			v.Searchers[0].Belief.Begin(epoch)
 			v.Searchers[0].Belief.Answered(epoch, time.Second)
 		}, allowed: []int32{1, 2}},
 	}
@@ -124,7 +124,7 @@
 }
 
 func eject(v *View, r int) {
-	v.Searchers[r].Belief.Begin()
+	v.Searchers[r].Belief.Begin(epoch)
 	v.Searchers[r].Belief.Failed(epoch, true)
 }
 
--- a/planner/view.go
+++ b/planner/view.go
@@ -16,6 +16,7 @@
 	Domain  int32
 	Link    time.Duration
 	Belief  *observer.Searcher
+	Until   time.Time
 }
 
 // Service is one service of the view.
@@ -56,6 +57,8 @@
 	Services  []Service
 	Searchers []Searcher
 	Buckets   map[string][]int32
+	Limits    *modeler.Limits
+	routes    *routes
 	domain    modeler.FailureDomain
 	indexes   map[modeler.IndexName]*Index
 	services  map[modeler.ServiceName]int32
@@ -77,12 +80,15 @@
 	}
 	domains := map[modeler.FailureDomain]int32{}
 	delays := delaysFrom(domain, links)
+	registered := byService(values)
 	for _, c := range values {
 		v.Teams = append(v.Teams, c.Teams...)
 		for _, s := range c.Services {
-			v.addService(s, domains, delays, o)
+			v.addService(withRegistered(s, registered), domains, delays, o)
+			v.applyRegistrations(registered[s.Name])
 		}
 	}
+	v.addRoutes(values)
 	urgent := urgentIndexes(v.Teams)
 	for _, c := range values {
 		for _, x := range c.Indexes {
@@ -144,7 +150,10 @@
 		}
 		v.addresses[r.Address] = int32(len(v.Searchers))
 		out.Searchers = append(out.Searchers, int32(len(v.Searchers)))
-		v.Searchers = append(v.Searchers, Searcher{r, n, d, 2 * delays[r.FailureDomain], o.Searcher(r.Address)})
+		v.Searchers = append(v.Searchers, Searcher{
+			Searcher: r, Service: n, Domain: d, Link: 2 * delays[r.FailureDomain],
+			Belief: o.Join(r.Address, r.Name, r.Born, out.Belief),
+		})
 	}
 	v.Services = append(v.Services, out)
 }
--- a/relayer/relayed.go
+++ b/relayer/relayed.go
@@ -58,7 +58,7 @@
 	}
 	r.query = gatherer.NewQuery(plan, gatherer.Seams{
 		Pick:       r.pick,
-		Spend:      func(_ time.Time, p gatherer.Purpose) bool { return p != gatherer.Hedge || r.hedges.Spend() },
+		Spend:      func(_ time.Time, _ int32, p gatherer.Purpose) bool { return p != gatherer.Hedge || r.hedges.Spend() },
 		HedgeAfter: func(int32) time.Duration { return max(MinRelayHedge, s.latency.HedgeDelay(s.now(), RelayQuantile)) },
 		Hold:       gatherer.HoldUntilCleared,
 		Matches:    matchesPart,
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -89,7 +89,7 @@
 	return other, true
 }
 
-func (r *replay) spend(_ time.Time, p gatherer.Purpose) bool {
+func (r *replay) spend(_ time.Time, _ int32, p gatherer.Purpose) bool {
 	if r.query.Sent() >= len(r.sends) {
 		return p == gatherer.Retry
 	}
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -33,7 +33,9 @@
 			for _, a := range v.seeds()[:min(2, len(v.seeds()))] {
 				v.pullFrom(ctx, a)
 			}
-			_ = v.watcher.Refresh(ctx, false)
+			if v.cfg.Routing == nil {
+				_ = v.watcher.Refresh(ctx, false)
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -13,6 +13,11 @@
 	DefaultReturnMargin = time.Millisecond
 	DefaultListPeriod   = 5 * time.Second
 	DefaultEvents       = 1 << 14
+	MinFleet            = 8
+	MinKillAfter        = 2 * time.Second
+	LeaveMargin         = 800 * time.Millisecond
+	ReplayedHold        = 2200 * time.Millisecond
+	DrainMargin         = 600 * time.Millisecond
 )
 
 // Bounds of what a VM asks of its neighbours.
@@ -25,6 +30,8 @@
 	HandoverWait   = 10 * time.Millisecond
 	DrainingPeriod = time.Minute
 	LeaveLinger    = 700 * time.Millisecond
+
+	RouteLeaveLinger = 150 * time.Millisecond
 )
 
 // Bounds of the regular work of a VM.
--- a/runner/neighbours.go
+++ b/runner/neighbours.go
@@ -58,6 +58,10 @@
 
 // join asks the seeds for the members, the news and the configuration before the VM serves.
 func (v *VM) join(ctx context.Context) {
+	if v.cfg.Routing != nil {
+		v.joinRouting(ctx)
+		return
+	}
 	if l, err := v.platform.Listing(ctx); err == nil {
 		v.listed(l)
 	}
@@ -97,7 +101,7 @@
 			out = append(out, a)
 		}
 	}
-	for _, a := range v.cfg.Peers {
+	for _, a := range *v.peerSeeds.Load() {
 		add(a)
 	}
 	if l := v.listing.Load(); l != nil {
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -37,7 +37,11 @@
 
 func (v *VM) healthy() bool {
 	view := v.view.Load()
-	return !v.draining.Load() && view != nil && view.Revision > 0
+	configured := view != nil && view.Revision > 0
+	if configured && v.cfg.Routing != nil {
+		configured = view.HasRoutes()
+	}
+	return !v.draining.Load() && configured
 }
 
 func (v *VM) status() server.Status {
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -50,6 +50,11 @@
 
 // leave hands the tickets over to a live VM and then tells the others who answers for them.
 func (v *VM) leave(ctx context.Context) {
+	if v.cfg.Routing != nil {
+		v.gossip.Leave(nil)
+		spawner.Sleep(ctx, RouteLeaveLinger)
+		return
+	}
 	h, ok := v.home.Close()
 	for deadline := time.Now().Add(v.cfg.Grace.Duration); !ok && time.Now().Before(deadline); h, ok = v.home.Close() {
 		spawner.Sleep(ctx, HandoverWait)
--- /dev/null
+++ b/runner/routing.go
@@ -0,0 +1,145 @@
+package runner
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiogap/pistachiogap/configurer"
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/platform"
+	"github.com/pistachiogap/pistachiogap/scatterer"
+	"github.com/pistachiogap/pistachiogap/server"
+	"github.com/pistachiogap/pistachiogap/watcher"
+)
+
+func (v *VM) dialerOptions() []dialer.Option {
+	options := []dialer.Option{dialer.WithBudget(v.connectionBudget), dialer.WithRetired(v.retired)}
+	if v.cfg.Routing != nil {
+		options = append(options, dialer.WithWire(platform.Searchers()))
+	}
+	return options
+}
+
+func (v *VM) storeOptions() []configurer.Option {
+	if v.cfg.Routing == nil {
+		return nil
+	}
+	hold := min(ReplayedHold, v.cfg.Routing.DrainWithin.Duration-DrainMargin)
+	return []configurer.Option{configurer.WithDecode(platform.Decode), configurer.WithHold(hold)}
+}
+
+// buildRouting joins the parts that serve callers by routes.
+func (v *VM) buildRouting(local netip.Addr) {
+	r := v.cfg.Routing
+	v.cfg.Links = append(v.cfg.Links, planner.LinksFrom(v.cfg.FailureDomain, r.Regions)...)
+	v.storeCalls = platform.NewStore(local, r.Store, func() { v.calls.Add(1) })
+	v.follower = &watcher.Follower{
+		List: v.storeCalls.List, Watch: v.storeCalls.Watch, Store: v.store, VMs: v.fleet, Changed: v.configured,
+	}
+	v.scatterer.Windows = limiter.NewWindows(limiter.Allowance{
+		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
+	}, func() int { return max(v.fleet(), v.leastFleet()) })
+}
+
+// leastFleet is how many VMs are assumed while the members are not yet known.
+func (v *VM) leastFleet() int { return max(MinFleet, len(v.cfg.Peers)) }
+
+// joinRouting asks the store and a few peers for the configuration before the VM serves.
+func (v *VM) joinRouting(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, JoinTimeout)
+	defer cancel()
+	if err := v.follower.Step(ctx); err != nil {
+		klog.ErrorS(err, "store: cannot be read at the start")
+		for _, a := range v.syncSome(ctx, JoinPeers) {
+			v.pullFrom(ctx, a)
+		}
+	}
+}
+
+// routeUpkeep trims connections and idle callers once a period.
+func (v *VM) routeUpkeep(ctx context.Context) error {
+	ticker := time.NewTicker(UpkeepPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			v.trim()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (v *VM) trim() {
+	view := v.view.Load()
+	if view == nil {
+		return
+	}
+	keep := make(map[netip.AddrPort]bool, len(view.Searchers))
+	for i := range view.Searchers {
+		keep[view.Searchers[i].Address] = true
+	}
+	v.dialer.Trim(keep)
+	v.scatterer.Windows.Keep(func(n modeler.ServiceName) bool {
+		_, ok := view.Service(n)
+		return ok
+	})
+	if view.Limits != nil {
+		v.idle.Close(time.Now(), view.Limits.IdleTimeout.Duration)
+	}
+}
+
+func (v *VM) serveRoutes(ctx context.Context) error {
+	forwards := &server.Forwards{
+		Dialect: platform.Callers(), View: v.view.Load, Gather: v.scatterer.Run, Admitter: v.admitter, Starved: v.scatterer.Starved,
+		Quarantine: v.quarantine, Draining: v.draining.Load, Done: v.forwarded,
+		Merge: func(parts []scatterer.Part, limit int) []byte {
+			return scatterer.MergeRecords(parts, platform.RecordBytes, limit)
+		},
+	}
+	s := server.NewHTTPServer(forwards)
+	s.ConnState = v.idle.Changed
+	return server.Serve(ctx, s, v.callers, v.cfg.Grace.Duration)
+}
+
+func (v *VM) serveReady(ctx context.Context) error {
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != platform.ReadyPath:
+			http.NotFound(w, r)
+		case !v.healthy():
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		default:
+			_, _ = w.Write([]byte("ready\n"))
+		}
+	})
+	return server.Serve(ctx, server.NewHTTPServer(h), v.ready, time.Second)
+}
+
+// forwarded counts and logs a request on a route.
+func (v *VM) forwarded(f *server.Forwarded) {
+	v.counter("forward." + f.Outcome).Inc(1)
+	v.histogram("forward.latency-us").Update(f.Took.Microseconds())
+	res := &f.Result
+	v.counter("attempts.sent").Inc(int64(res.Sent))
+	v.counter("attempts.extra").Inc(int64(res.Sent - res.Primaries))
+	v.counter("attempts.lost").Inc(int64(res.Lost))
+	v.counter("attempts.shed").Inc(int64(res.Shed))
+	fields := []any{
+		"id", string(f.ID), "route", string(f.Route), "revision", uint64(f.Config), "outcome", f.Outcome, "status", f.Status,
+		"took-ms", f.Took.Milliseconds(), "shards", res.Shards, "answered", res.Answered, "sent", res.Sent,
+		"shed", res.Shed, "lost", res.Lost, "may-have-run", res.MayHaveRun,
+	}
+	if f.Status < http.StatusMultipleChoices && f.Outcome == string(server.Complete) {
+		klog.InfoS("request: answered", fields...)
+		return
+	}
+	klog.ErrorS(nil, "request: not answered in full", append(fields, "detail", f.Detail, "missing", res.Missing)...)
+}
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -38,6 +38,19 @@
 	ReturnMargin  modeler.Duration      `json:"return-margin"`
 	ListPeriod    modeler.Duration      `json:"list-period"`
 	Timeline      Timeline              `json:"timeline"`
+	Routing       *Routing              `json:"routing"`
+}
+
+// Routing holds what a VM needs to serve callers by routes on the users' platform.
+type Routing struct {
+	Ready       netip.AddrPort                   `json:"ready"`
+	Store       netip.AddrPort                   `json:"store"`
+	Regions     map[modeler.FailureDomain]string `json:"regions"`
+	KillAfter   modeler.Duration                 `json:"kill-after"`
+	RetryRatio  float64                          `json:"retry-ratio"`
+	RetrySlack  float64                          `json:"retry-slack"`
+	RetryWindow modeler.Duration                 `json:"retry-window"`
+	DrainWithin modeler.Duration                 `json:"drain-within"`
 }
 
 // Check fills in the defaults and returns the faults of the settings.
@@ -76,7 +89,9 @@
 			p.Add("must be an address with a port", "listen", name)
 		}
 	}
-	if !s.Platform.IsValid() || s.Platform.Port() == 0 {
+	if s.Routing != nil {
+		s.Routing.check(p)
+	} else if !s.Platform.IsValid() || s.Platform.Port() == 0 {
 		p.Add("must be an address with a port", "platform")
 	}
 	if s.Listen.Callers == s.Listen.Operators || s.Listen.Callers == s.Listen.Peers || s.Listen.Operators == s.Listen.Peers {
@@ -89,7 +104,28 @@
 	}
 }
 
+func (r *Routing) check(p *modeler.Problems) {
+	for name, a := range map[string]netip.AddrPort{"ready": r.Ready, "store": r.Store} {
+		if !a.IsValid() || a.Port() == 0 {
+			p.Add("must be an address with a port", "routing", name)
+		}
+	}
+	if r.KillAfter.Duration < MinKillAfter {
+		p.Add("must be at least 2s", "routing", "kill-after")
+	}
+	if r.RetryRatio < 0 || r.RetrySlack < 0 || r.RetryWindow.Duration <= 0 {
+		p.Add("must not be negative, and have a window", "routing", "retry-ratio")
+	}
+	if r.DrainWithin.Duration <= 0 {
+		p.Add("must be above 0", "routing", "drain-within")
+	}
+}
+
 func (s *Settings) fill() {
+	if s.Routing != nil {
+		setDefault(&s.DrainDelay, s.Routing.KillAfter.Duration/2)
+		setDefault(&s.Grace, s.Routing.KillAfter.Duration/2-LeaveMargin)
+	}
 	setDefault(&s.Grace, DefaultGrace)
 	setDefault(&s.DrainDelay, DefaultDrainDelay)
 	setDefault(&s.ReturnMargin, DefaultReturnMargin)
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -77,7 +77,7 @@
 	}
 	now := time.Now()
 	if err != nil {
-		s.Belief.Begin()
+		s.Belief.Begin(now)
 		s.Belief.Failed(now, false)
 		return
 	}
@@ -119,6 +119,9 @@
 	if holders == 0 {
 		return 0
 	}
+	if v.cfg.Routing != nil {
+		return limiter.Connections(service.Contract.Connections, max(holders, v.leastFleet()))
+	}
 	return limiter.Connections(service.Contract.Connections, holders)
 }
 
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -23,6 +23,7 @@
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/orderer"
 	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/platform"
 	"github.com/pistachiogap/pistachiogap/recorder"
 	"github.com/pistachiogap/pistachiogap/relayer"
 	"github.com/pistachiogap/pistachiogap/scatterer"
@@ -55,6 +56,7 @@
 
 	callers   net.Listener
 	operators net.Listener
+	ready     net.Listener
 	peers     net.Listener
 	datagrams net.PacketConn
 
@@ -67,6 +69,8 @@
 	store      *configurer.Store
 	platform   *watcher.Client
 	watcher    *watcher.Watcher
+	follower   *watcher.Follower
+	storeCalls *platform.Store
 	gossip     *gossiper.Gossip
 	relays     *relayer.Client
 	spread     *relayer.Spreader
@@ -74,17 +78,19 @@
 	orderer    *orderer.Orderer
 	metrics    metrics.Registry
 
-	building func()
-	viewMu   sync.Mutex
-	crowdMu  sync.Mutex
-	view     atomic.Pointer[planner.View]
-	crowd    atomic.Pointer[crowd]
-	listing  atomic.Pointer[modeler.Listing]
-	draining atomic.Bool
-	calls    atomic.Uint64
-	drain    chan struct{}
-	pulls    chan gossiper.Member
-	woken    chan time.Duration
+	building  func()
+	viewMu    sync.Mutex
+	crowdMu   sync.Mutex
+	view      atomic.Pointer[planner.View]
+	crowd     atomic.Pointer[crowd]
+	peerSeeds atomic.Pointer[[]netip.AddrPort]
+	listing   atomic.Pointer[modeler.Listing]
+	draining  atomic.Bool
+	idle      server.IdleConns
+	calls     atomic.Uint64
+	drain     chan struct{}
+	pulls     chan gossiper.Member
+	woken     chan time.Duration
 }
 
 // Option changes a VM under construction.
@@ -104,6 +110,7 @@
 		metrics:     metrics.NewRegistry(),
 		building:    func() {},
 	}
+	v.peerSeeds.Store(&v.cfg.Peers)
 	for _, o := range options {
 		o(v)
 	}
@@ -115,6 +122,12 @@
 	return v, nil
 }
 
+// Reload takes in the part of the settings that may change while the VM runs: the peers by which it finds others.
+func (v *VM) Reload(cfg Settings) {
+	v.peerSeeds.Store(&cfg.Peers)
+	klog.InfoS("settings: read again", "vm", string(v.cfg.Name), "peers", len(cfg.Peers))
+}
+
 func (v *VM) open() error {
 	var err error
 	if v.callers, err = net.Listen("tcp", v.cfg.Listen.Callers.String()); err != nil {
@@ -123,6 +136,11 @@
 	if v.operators, err = net.Listen("tcp", v.cfg.Listen.Operators.String()); err != nil {
 		return errors.Wrap(err, "operators' port")
 	}
+	if v.cfg.Routing != nil {
+		if v.ready, err = net.Listen("tcp", v.cfg.Routing.Ready.String()); err != nil {
+			return errors.Wrap(err, "readiness port")
+		}
+	}
 	if v.peers, err = net.Listen("tcp", v.cfg.Listen.Peers.String()); err != nil {
 		return errors.Wrap(err, "peers' port")
 	}
@@ -133,7 +151,7 @@
 }
 
 func (v *VM) close() {
-	for _, l := range []net.Listener{v.callers, v.operators, v.peers} {
+	for _, l := range []net.Listener{v.callers, v.operators, v.ready, v.peers} {
 		if l != nil {
 			_ = l.Close()
 		}
@@ -152,14 +170,17 @@
 	v.observer = observer.NewObserver()
 	v.quarantine = observer.NewQuarantine()
 	v.admitter = limiter.NewAdmitter()
-	v.dialer = dialer.NewDialer(local, dialer.WithBudget(v.connectionBudget), dialer.WithRetired(v.retired))
+	v.dialer = dialer.NewDialer(local, v.dialerOptions()...)
 	v.scatterer = scatterer.NewScatterer(v.dialer, v.observer, v.quarantine, v.recorder,
 		append([]scatterer.Option{scatterer.WithDraining(v.foundDraining), scatterer.WithPoisoned(v.foundPoison), scatterer.WithPressure(v.admitter.Pressed)}, v.mechanisms.Scatterer...)...)
-	v.store = configurer.NewStore(v.mechanisms.Store...)
+	v.store = configurer.NewStore(append(v.storeOptions(), v.mechanisms.Store...)...)
 	v.platform = watcher.NewClient(v.cfg.Platform, func() { v.calls.Add(1) })
 	v.watcher = &watcher.Watcher{
 		Client: v.platform, Store: v.store, Reader: v.isReader, VMs: v.fleet, Changed: v.configured, Listed: v.listed,
 	}
+	if v.cfg.Routing != nil {
+		v.buildRouting(local)
+	}
 	v.buildPeers(local, clock)
 }
 
@@ -218,8 +239,14 @@
 // startParts starts what runs behind the callers' port; failed reports a part that ends before its context.
 func (v *VM) startParts(ctx context.Context) (ends []<-chan error, failed <-chan error) {
 	parts := []func(context.Context) error{
-		v.gossip.Run, v.watcher.Run, v.pull, v.upkeep, v.synchronize, v.servePeers, v.serveOperators,
-		func(ctx context.Context) error { return v.watcher.RunListing(ctx, v.cfg.ListPeriod.Duration) },
+		v.gossip.Run, v.pull, v.synchronize, v.servePeers, v.serveOperators,
+	}
+	if v.cfg.Routing != nil {
+		parts = append(parts, v.follower.Run, v.routeUpkeep, v.serveReady)
+	} else {
+		parts = append(parts, v.watcher.Run, v.upkeep, func(ctx context.Context) error {
+			return v.watcher.RunListing(ctx, v.cfg.ListPeriod.Duration)
+		})
 	}
 	early := make(chan error, len(parts))
 	for _, part := range parts {
@@ -255,6 +282,9 @@
 }
 
 func (v *VM) serveCallers(ctx context.Context) error {
+	if v.cfg.Routing != nil {
+		return v.serveRoutes(ctx)
+	}
 	searches := &server.Searches{
 		Name: v.cfg.Name, View: v.view.Load, Gather: v.spread.Run, Starved: v.scatterer.Starved,
 		Admitter: v.admitter, Observer: v.observer, Quarantine: v.quarantine, Recorder: v.recorder,
--- a/scatterer/constants.go
+++ b/scatterer/constants.go
@@ -9,5 +9,8 @@
 	JudgeTimeout = time.Second
 	RecheckAfter = 50 * time.Millisecond
 	Bystanders   = 3
+	StallLimit   = 30 * time.Millisecond
+	PartLinger   = 300 * time.Millisecond
+	SingleLinger = 20 * time.Millisecond
 	eventSlack   = 16
 )
--- /dev/null
+++ b/scatterer/forward.go
@@ -0,0 +1,88 @@
+package scatterer
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
+
+// forwardPlan puts the policy of a route into the plan of a query.
+func (r *run) forwardPlan(plan *gatherer.Plan) {
+	f := r.req.Forward
+	plan.Patience = f.Patience
+	plan.MaxRuns = f.Attempts
+	plan.AtMostOnce = f.AtMostOnce
+	plan.WholeOrNone = true
+	plan.CountRefusals = true
+	if r.s.Windows == nil {
+		return
+	}
+	now := r.s.now()
+	for _, h := range r.req.Snapshot.Shards {
+		r.s.Windows.Earn(now, r.serviceName(h.Service))
+	}
+}
+
+func (r *run) earn(int32) {
+	if r.req.Forward != nil {
+		return
+	}
+	r.hedges.Earn(1)
+	r.retries.Earn(1)
+}
+
+// spendWindow allows an extra attempt within the allowance of the shard's service; part of it is left to retries.
+func (r *run) spendWindow(now time.Time, shard int32, p gatherer.Purpose) bool {
+	share := 1.0
+	if p != gatherer.Retry {
+		share = limiter.HedgeShare
+	}
+	return r.s.Windows.Spend(now, r.serviceName(r.req.Snapshot.Shards[shard].Service), share)
+}
+
+// forwardCall completes the call of an attempt on a route.
+func (r *run) forwardCall(call *dialer.Call, a gatherer.Action) {
+	call.Message = r.req.Forward.Message
+	call.Expect = r.req.View.Searchers[a.Searcher].Name
+	call.Deadline = r.req.Deadline
+	call.Linger = SingleLinger
+	if len(r.req.Snapshot.Shards) > 1 {
+		call.Linger = PartLinger
+	}
+	call.Proven = r.req.Forward.AtMostOnce || a.Purpose != gatherer.Primary
+}
+
+// accept takes an answer that the wire has already found to belong to the attempt.
+func (r *run) accept(a gatherer.Action, reply dialer.Reply) end {
+	shard := r.req.Snapshot.Shards[a.Shard]
+	return end{reply: reply, event: gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: gatherer.Claim{
+		Request: r.req.ID, Attempt: a.Attempt, Shard: shard.Name, Snapshot: r.req.Snapshot.ID, Documents: shard.Documents,
+	}}}
+}
+
+func (r *run) serviceName(service int32) modeler.ServiceName {
+	if service < 0 {
+		return ""
+	}
+	return r.req.View.Services[service].Name
+}
+
+// suspectForward quarantines a request without any answer that crashed two searchers, now or in two runs.
+func (r *run) suspectForward(ctx context.Context, lost []int32) {
+	if r.crashed || r.query.Answered() > 0 || len(lost) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), CheckTimeout)
+	defer cancel()
+	n := r.s.crashes(ctx, r.req.View, lost)
+	if n == 0 {
+		return
+	}
+	if again := r.s.Quarantine.Suspect(r.print, r.s.now()); again || n >= gatherer.PoisonLosses {
+		r.quarantine()
+	}
+}
--- a/scatterer/judge.go
+++ b/scatterer/judge.go
@@ -64,3 +64,22 @@
 	}
 	return dialer.Unclear
 }
+
+// crashes returns how many of the lost searchers refuse connections now; a searcher whose answer was lost on the way does not.
+func (s *Scatterer) crashes(ctx context.Context, v *planner.View, lost []int32) int {
+	n := 0
+	for _, r := range lost {
+		if s.Dialer.Check(ctx, v.Searchers[r].Address, CheckTimeout) == dialer.Dead {
+			n++
+		}
+	}
+	return n
+}
+
+// judgeForward judges the losses of a request on a route, where answers are also lost without a crash.
+func (s *Scatterer) judgeForward(ctx context.Context, v *planner.View, lost []int32, bystander func(int32) bool) gatherer.Verdict {
+	if s.crashes(ctx, v, lost) < gatherer.PoisonLosses {
+		return gatherer.Innocent
+	}
+	return s.Judge(ctx, v, lost, bystander)
+}
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -18,6 +18,10 @@
 		Lost:     len(r.query.Lost()),
 		Crashed:  r.crashed,
 		NotHeld:  r.notHeld,
+		Parts:    r.parts,
+		Failure:  r.failure,
+
+		MayHaveRun: r.query.MayHaveRun(),
 	}
 	res.Documents, res.Total = r.query.Documents()
 	res.Sent, res.Primaries = r.query.Attempts()
@@ -27,7 +31,7 @@
 	if res.Answered > 0 {
 		r.s.Quarantine.Good(r.print.At(r.req.Snapshot.ID), now)
 	}
-	if res.Answered == 0 && res.Lost == 1 && r.s.Quarantine.Suspect(r.print, now) {
+	if r.req.Forward == nil && res.Answered == 0 && res.Lost == 1 && r.s.Quarantine.Suspect(r.print, now) {
 		r.quarantine()
 		res.Crashed = true
 	}
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -41,6 +41,8 @@
 	cancels []context.CancelFunc
 	reached map[int32]bool
 	hits    []dialer.Hit
+	parts   []Part
+	failure *dialer.Reply
 	notes   []recorder.Event
 	sampled bool
 	shed    atomic.Int64
@@ -52,7 +54,7 @@
 	r := &run{
 		s: s, req: req,
 		picker:  planner.Picker{View: req.View, Index: req.Index.Name, Snapshot: req.Snapshot, Random: s.random},
-		print:   observer.FingerprintOf(req.Index.Name, req.Body),
+		print:   printOf(&req),
 		prefix:  string(req.ID) + "." + strconv.FormatUint(rand.Uint64(), 36) + ".",
 		ends:    make(chan end, len(req.Snapshot.Shards)+eventSlack),
 		reached: make(map[int32]bool, len(req.Snapshot.Shards)),
@@ -61,17 +63,33 @@
 	policy := req.Index.Policy
 	r.hedges, r.retries = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, len(req.Snapshot.Shards))
 	plan := r.plan()
+	hold := s.hold
+	if req.Forward != nil {
+		r.picker.Stall = StallLimit
+		r.forwardPlan(&plan)
+		if len(plan.Shards) == 1 {
+			hold = func(bool) bool { return false }
+		}
+	}
 	r.query = gatherer.NewQuery(plan, gatherer.Seams{
 		Pick:       r.picker.Pick,
 		Spend:      r.spend,
 		HedgeAfter: r.hedgeAfter,
-		Hold:       s.hold,
+		Hold:       hold,
 		Matches:    s.matches,
 	})
 	r.notePlan(plan)
 	return r
 }
 
+// printOf returns the fingerprint of a request's content.
+func printOf(req *Request) observer.Fingerprint {
+	if req.Forward != nil {
+		return req.Forward.Print
+	}
+	return observer.FingerprintOf(req.Index.Name, req.Body)
+}
+
 func (r *run) plan() gatherer.Plan {
 	policy := r.req.Index.Policy
 	now := r.s.now()
@@ -95,7 +113,10 @@
 }
 
 // spend allows an extra attempt; under pressure only one on a new connection, which finds silent ones.
-func (r *run) spend(now time.Time, p gatherer.Purpose) bool {
+func (r *run) spend(now time.Time, shard int32, p gatherer.Purpose) bool {
+	if r.req.Forward != nil {
+		return r.spendWindow(now, shard, p)
+	}
 	if p != gatherer.Probe && r.s.pressed(now) {
 		return false
 	}
@@ -120,6 +141,9 @@
 func (r *run) event(e *end) *gatherer.Event {
 	if e.event.Kind == gatherer.EventFault {
 		r.noteFault(e)
+		if e.event.Fault == gatherer.FaultRejected {
+			r.failure = &e.reply
+		}
 	}
 	return &e.event
 }
@@ -128,8 +152,7 @@
 	switch a.Kind {
 	case gatherer.ActionSend:
 		if a.Purpose == gatherer.Primary {
-			r.hedges.Earn(1)
-			r.retries.Earn(1)
+			r.earn(a.Shard)
 		}
 		r.send(ctx, a)
 	case gatherer.ActionCancel:
@@ -137,6 +160,9 @@
 		r.note(recorder.AttemptCancelled, a)
 	case gatherer.ActionMerge:
 		r.hits = append(r.hits, e.hits...)
+		if r.req.Forward != nil {
+			r.parts = append(r.parts, Part{a.Shard, e.reply})
+		}
 		r.note(recorder.AttemptAnswered, a)
 	case gatherer.ActionDrop:
 		r.note(recorder.AnswerDropped, a)
@@ -168,6 +194,9 @@
 		Fresh:    a.Purpose == gatherer.Probe,
 		Linger:   r.req.View.Services[r.req.View.Searchers[a.Searcher].Service].Contract.SetUp.Duration,
 	}
+	if r.req.Forward != nil {
+		r.forwardCall(&call, a)
+	}
 	go r.attempt(ctx, cancel, a, call)
 }
 
@@ -175,14 +204,14 @@
 func (r *run) attempt(ctx context.Context, cancel context.CancelFunc, a gatherer.Action, call dialer.Call) {
 	defer cancel()
 	searcher := &r.req.View.Searchers[a.Searcher]
-	searcher.Belief.Begin()
 	start := r.s.now()
+	searcher.Belief.Begin(start)
 	reply := r.s.Dialer.Do(ctx, call)
 	e := end{reply: reply, event: gatherer.Event{Kind: gatherer.EventFault, Attempt: a.Attempt, Fault: reply.Fault}}
 	if reply.Fault == gatherer.FaultNone {
 		e = r.decode(a, reply)
 	}
-	r.believe(ctx, searcher, &e, r.s.now().Sub(start))
+	r.believe(ctx, a, &e, r.s.now().Sub(start))
 	if e.event.Fault == gatherer.FaultShed {
 		r.shed.Add(1)
 	}
@@ -193,6 +222,9 @@
 }
 
 func (r *run) decode(a gatherer.Action, reply dialer.Reply) end {
+	if r.req.Forward != nil {
+		return r.accept(a, reply)
+	}
 	answer, err := parser.DecodeStrict[dialer.SearchAnswer](reply.Body)
 	if err != nil {
 		return end{reply: reply, event: gatherer.Event{Kind: gatherer.EventFault, Attempt: a.Attempt, Fault: gatherer.FaultCorrupt}}
@@ -221,7 +253,8 @@
 	return int32(n)
 }
 
-func (r *run) believe(ctx context.Context, searcher *planner.Searcher, e *end, took time.Duration) {
+func (r *run) believe(ctx context.Context, a gatherer.Action, e *end, took time.Duration) {
+	searcher := &r.req.View.Searchers[a.Searcher]
 	b := searcher.Belief
 	now := r.s.now()
 	if e.reply.Held != nil {
@@ -235,7 +268,9 @@
 		b.Failed(now, false)
 	case e.event.Kind == gatherer.EventAnswer:
 		b.Answered(now, took)
-		r.req.View.Services[searcher.Service].Belief.Record(took)
+		if r.req.Forward == nil || a.Purpose == gatherer.Primary {
+			r.req.View.Services[searcher.Service].Belief.Record(took)
+		}
 		if !e.reply.Draining {
 			b.Returned(now, now.Add(-took))
 		}
@@ -248,6 +283,8 @@
 		b.Cancelled(now, took)
 	case e.event.Fault == gatherer.FaultShed && !e.reply.Late:
 		b.Shed(now)
+	case e.event.Fault == gatherer.FaultMisdirected:
+		b.Failed(now, true)
 	case blamed(e):
 		b.Failed(now, e.event.Fault == gatherer.FaultNotSent)
 	default:
@@ -271,7 +308,11 @@
 	lost := slices.Clone(r.query.Lost())
 	bystander := r.bystanders()
 	go func() {
-		verdict := r.s.Judge(ctx, r.req.View, lost, bystander)
+		judge := r.s.Judge
+		if r.req.Forward != nil {
+			judge = r.s.judgeForward
+		}
+		verdict := judge(ctx, r.req.View, lost, bystander)
 		select {
 		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: verdict}}:
 		case <-ctx.Done():
@@ -292,6 +333,10 @@
 // judgeLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
 func (r *run) judgeLate(ctx context.Context) {
 	lost := r.query.Lost()
+	if r.req.Forward != nil {
+		r.suspectForward(ctx, lost)
+		return
+	}
 	if r.crashed || r.query.Answered() > 0 || len(lost) < gatherer.PoisonLosses {
 		return
 	}
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -22,6 +22,7 @@
 	Quarantine *observer.Quarantine
 	Recorder   *recorder.Recorder
 	Budgets    *limiter.Budgets
+	Windows    *limiter.Windows
 
 	starved  atomic.Int64
 	now      func() time.Time
@@ -114,6 +115,16 @@
 	Body     []byte
 	Limit    int
 	Deadline time.Time
+	Forward  *Forward
+}
+
+// Forward is what a request on a route has beside a search: the caller's message, and how often it may run.
+type Forward struct {
+	Message    *dialer.Message
+	Patience   time.Time
+	Attempts   int
+	AtMostOnce bool
+	Print      observer.Fingerprint
 }
 
 // Result is what a search came to.
@@ -132,6 +143,17 @@
 	Crashed   bool
 	NotHeld   bool
 	Refused   bool
+
+	Parts      []Part
+	Failure    *dialer.Reply
+	MayHaveRun bool
+	Notes      []string
+}
+
+// Part is the answer of one shard of a route.
+type Part struct {
+	Shard int32
+	Reply dialer.Reply
 }
 
 // Run scatters the request over the shards of its snapshot and gathers the answers until its deadline.
--- a/server/constants.go
+++ b/server/constants.go
@@ -12,6 +12,11 @@
 	DefaultLimit   = 20
 	MaxLimit       = 1000
 	LostServices   = 8
+
+	TimeoutMargin   = 20 * time.Millisecond
+	ReturnMargin    = 10 * time.Millisecond
+	ObjectiveMargin = 12 * time.Millisecond
+	RouteRetryAfter = 100 * time.Millisecond
 )
 
 // The headers of the callers' protocol.
