--- a/observer/observer.go
+++ b/observer/observer.go
@@ -47,7 +47,8 @@
 		s = &Searcher{latency: service.Typical(), news: &o.generation}
 		o.searchers[a] = s
 	}
-	s.name, s.born, s.service = name, born, service
+	s.name, s.born = name, born
+	s.belongTo(service)
 	return s
 }
 
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -33,6 +33,13 @@
 	slowAt   time.Time
 }
 
+// belongTo sets the service whose usual latency is expected while little is known of the searcher.
+func (s *Searcher) belongTo(service *Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.service = service
+}
+
 // Begin counts an attempt under way.
 func (s *Searcher) Begin(now time.Time) {
 	s.mu.Lock()
