Read the store by three VMs, share connections by region and rank

Change: three VMs by rank watch and the others pull from peers that announce a later revision; one that cannot read says so and the next takes over; one that hears nobody reads itself. Changes within 200 ms come in one watch. VMs of a searcher's region hold connections first, far ones by rank. The answer over shards leaves 22 ms before the objective.

--- a/configurer/reader.go
+++ b/configurer/reader.go
@@ -11,6 +11,7 @@
 // Bounds of the reads of the platform's configuration service.
 const (
 	ReadersPerDomain = 2
+	StoreReaders     = 3
 	FleetPollRate    = 100
 	MinPollPeriod    = 2 * time.Second
 	MaxBackoff       = 3 * time.Second
@@ -21,6 +22,11 @@
 	return slices.Contains(planner.Rank("configuration/"+string(domain), alive, ReadersPerDomain), self)
 }
 
+// IsStoreReader reports whether a VM is one of the StoreReaders of the fleet, given the VMs that can read the store.
+func IsStoreReader(self modeler.VMName, able []modeler.VMName) bool {
+	return slices.Contains(planner.Rank("store", able, StoreReaders), self)
+}
+
 // PollPeriod returns how often a VM that holds no watch reads, so that the fleet reads FleetPollRate times a second at the most.
 func PollPeriod(vms int) time.Duration {
 	return max(MinPollPeriod, time.Duration(vms)*time.Second/FleetPollRate)
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -256,6 +256,16 @@
 	}
 }
 
+// TrimIdle closes the connections to a searcher that were idle for longer than the limit.
+func (d *Dialer) TrimIdle(a netip.AddrPort, limit time.Duration) {
+	d.mu.Lock()
+	p := d.pools[a]
+	d.mu.Unlock()
+	if p != nil {
+		p.trimIdle(d.now(), limit)
+	}
+}
+
 // Rebudget applies the budgets at once, when the VMs that share them have changed.
 func (d *Dialer) Rebudget() {
 	d.mu.Lock()
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -197,6 +197,17 @@
 	return p.answered.After(t)
 }
 
+// trimIdle closes connections idle for longer than the limit.
+func (p *pool) trimIdle(now time.Time, limit time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && now.Sub(p.idle[0].lastRead) > limit {
+		_ = p.idle[0].Close()
+		p.idle = p.idle[1:]
+		p.open--
+	}
+}
+
 // trim closes idle connections beyond the limit or idle for longer than IdleLimit, and returns whether one is left.
 func (p *pool) trim(now time.Time, limit int) bool {
 	p.mu.Lock()
--- a/gossiper/constants.go
+++ b/gossiper/constants.go
@@ -8,6 +8,7 @@
 	ProbeTimeout    = 300 * time.Millisecond
 	TickPeriod      = 100 * time.Millisecond
 	SuspicionFactor = 4.0
+	IsolatedAfter   = 1500 * time.Millisecond
 	PauseLimit      = 2 * time.Second
 	IndirectProbes  = 3
 	FanOut          = 4
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -61,9 +61,10 @@
 const (
 	NewsQuarantine NewsKind = iota + 1
 	NewsDraining
+	NewsStoreLost
 )
 
-// News is something that every VM has to know at once: a quarantined request or a draining searcher.
+// News is something that every VM has to know at once: a quarantined request, a draining searcher, or a VM that cannot read the platform's store.
 type News struct {
 	Kind    NewsKind
 	Subject uint64
@@ -126,10 +127,10 @@
 
 func newsFromWire(w *messenger.News) (News, error) {
 	n := News{Kind: NewsKind(w.GetKind()), Subject: w.GetSubject(), Until: time.UnixMilli(w.GetUntilMillis())}
-	if n.Kind != NewsQuarantine && n.Kind != NewsDraining {
+	if n.Kind < NewsQuarantine || n.Kind > NewsStoreLost {
 		return News{}, errors.Errorf("news of kind %d is unknown", w.GetKind())
 	}
-	if n.Kind == NewsDraining {
+	if n.Kind != NewsQuarantine {
 		a, err := netip.ParseAddrPort(w.GetAddress())
 		if err != nil {
 			return News{}, err
--- a/gossiper/node.go
+++ b/gossiper/node.go
@@ -73,6 +73,7 @@
 	nextFan  time.Time
 	fans     int
 	lastTick time.Time
+	lastWord time.Time
 	health   int
 	tokens   float64
 	rumors   []*rumor
@@ -109,6 +110,9 @@
 	return n
 }
 
+// Alone reports whether no other VM was heard of for longer than IsolatedAfter.
+func (n *Node) Alone(now time.Time) bool { return now.Sub(n.lastWord) > IsolatedAfter }
+
 // Receive takes in one packet.
 func (n *Node) Receive(now time.Time, p *Packet, out []Action) []Action {
 	if p.From == n.self.Name {
@@ -121,6 +125,7 @@
 		}
 		old.lastStamp = p.Stamp
 	}
+	n.lastWord = now
 	n.clock.Observe(p.Stamp)
 	out = n.MergeMembers(now, p.Members, out)
 	for _, h := range p.Heirs {
--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -6,6 +6,8 @@
 const (
 	MinBurst           = 40
 	ConnectionHeadroom = 0.9
+	ShareHeadroom      = 0.85
+	RatioShare         = 0.92
 	MinConcurrency     = 2
 	InitialConcurrency = 64
 	MaxConcurrency     = 4096
--- /dev/null
+++ b/limiter/share.go
@@ -0,0 +1,31 @@
+package limiter
+
+// Share is a VM's part of the connections of one searcher.
+type Share struct {
+	Limit int
+	// Holder says that the connections may stay open while idle.
+	Holder bool
+}
+
+// Parts of a searcher's connections.
+const (
+	nearWeight = 2.0
+	nearPart   = 0.6
+)
+
+// ShareOf divides the connections of a searcher over the fleet: VMs of its own region get twice as many as others. Where they do not go round, near VMs come first and the far ones whose rank fits the rest; any other opens one for as long as it is in use.
+func ShareOf(connections, near, far int, isNear bool, rank int) Share {
+	total := float64(connections) * ShareHeadroom
+	near, far = max(near, 0), max(far, 0)
+	if unit := total / max(1, nearWeight*float64(near)+float64(far)); unit >= 1 {
+		if isNear {
+			return Share{max(1, (int(total)-far*int(unit))/max(1, near)), true}
+		}
+		return Share{int(unit), true}
+	}
+	each := max(1, int(total*nearPart/float64(max(1, near))))
+	if isNear {
+		return Share{each, true}
+	}
+	return Share{1, rank < int(total)-near*each}
+}
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -81,7 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	slack := w.allowance.Slack * SlackShare / float64(max(1, w.fleet()))
-	return w.of(service).Spend(now.Sub(w.start), share*w.allowance.Ratio, share*slack)
+	return w.of(service).Spend(now.Sub(w.start), share*w.allowance.Ratio*RatioShare, share*slack)
 }
 
 func (w *Windows) of(service modeler.ServiceName) *Window {
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -17,6 +17,7 @@
 	Random   func(n int) int
 	Usable   func(searcher int32) bool
 	Stall    time.Duration
+	Holder   func(searcher int32) bool
 }
 
 // Pick returns a replica of the shard that was not tried: the cheapest that is usable, else of those ejected, never one that drains.
@@ -92,13 +93,22 @@
 	for _, r := range fit {
 		s := &p.View.Searchers[r]
 		spread := 1 - CostSpread/2 + CostSpread*float64(p.Random(spreadSteps))/spreadSteps
-		if cost := s.Belief.Cost(now, slots, s.Link) * spread; cost < least {
+		if cost := s.Belief.Cost(now, slots, p.link(r)) * spread; cost < least {
 			best, least = r, cost
 		}
 	}
 	return best, true
 }
 
+// link returns the delay to a searcher and back, twice if a connection has to be opened first.
+func (p *Picker) link(r int32) time.Duration {
+	link := p.View.Searchers[r].Link
+	if p.Holder != nil && !p.Holder(r) {
+		link += link + ConnectCost
+	}
+	return link
+}
+
 // Shuffle puts the searchers in random order.
 func (p *Picker) Shuffle(list []int32) {
 	for i := len(list) - 1; i > 0; i-- {
@@ -112,4 +122,5 @@
 	MaxCompared = 16
 	CostSpread  = 0.2
 	spreadSteps = 1000
+	ConnectCost = 6 * time.Millisecond
 )
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -84,7 +84,9 @@
 	v.building()
 	view := planner.NewView(rev, v.cfg.FailureDomain, v.cfg.Links, values, v.observer)
 	v.view.Store(view)
+	v.shares.forget()
 	v.admitter.SetShares(view.Teams)
 	v.recorder.Record(recorder.Event{Kind: recorder.ConfigurationAccepted, Detail: revisionText(rev)})
+	klog.InfoS("configuration: in force", "revision", uint64(rev), "services", len(view.Services), "searchers", len(view.Searchers))
 	return rev
 }
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -25,12 +25,15 @@
 	JoinTimeout    = time.Second
 	MissingShare   = 10
 	JoinPeers      = 3
+	LonelyPeriod   = 400 * time.Millisecond
 	PullTimeout    = 2 * time.Second
 	AdoptTimeout   = 2 * time.Second
 	HandoverWait   = 10 * time.Millisecond
 	DrainingPeriod = time.Minute
 	LeaveLinger    = 700 * time.Millisecond
 
+	StoreLostPeriod  = 5 * time.Second
+	ShortIdle        = time.Second
 	RouteLeaveLinger = 150 * time.Millisecond
 )
 
--- a/runner/neighbours.go
+++ b/runner/neighbours.go
@@ -40,6 +40,7 @@
 		}
 	}
 	v.crowd.Store(c)
+	v.shares.forget()
 	v.spread.SetMembers(c.relays)
 }
 
@@ -125,6 +126,9 @@
 		if fleet := v.fleet(); (fleet-v.crowd.Load().alive)*MissingShare >= fleet {
 			period = gossiper.Period
 		}
+		if v.crowd.Load().alive <= 1 {
+			period = LonelyPeriod
+		}
 		spawner.Sleep(ctx, period/2+rand.N(period/2))
 		seeds := v.seeds()
 		if len(seeds) == 0 {
@@ -165,6 +169,7 @@
 		gossiper.Dead: recorder.MemberDead, gossiper.Left: recorder.MemberLeft,
 	}
 	v.recorder.Record(recorder.Event{Kind: kinds[m.State], Detail: string(m.Name)})
+	klog.InfoS("member: changed", "member", string(m.Name), "state", m.State.String(), "incarnation", uint64(m.Incarnation), "version", m.Version)
 	if m.State >= gossiper.Dead {
 		v.relays.Forget(m.Address)
 	}
--- a/runner/news.go
+++ b/runner/news.go
@@ -20,6 +20,8 @@
 		if v.quarantine.Add(observer.Fingerprint(n.Subject), now, n.Until) {
 			v.recorder.Record(recorder.Event{Kind: recorder.RequestQuarantined, Detail: "told by a peer"})
 		}
+	case gossiper.NewsStoreLost:
+		v.readers.lost(n.Address, now)
 	case gossiper.NewsDraining:
 		if v.observer.Searcher(n.Address).Drain(now) {
 			v.recorder.Record(recorder.Event{Kind: recorder.SearcherDraining, Detail: "told by a peer: " + n.Address.String()})
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -42,7 +42,9 @@
 	v.storeCalls = platform.NewStore(local, r.Store, func() { v.calls.Add(1) })
 	v.follower = &watcher.Follower{
 		List: v.storeCalls.List, Watch: v.storeCalls.Watch, Store: v.store, VMs: v.fleet, Changed: v.configured,
+		Reader: v.readsStore, Lost: v.tellStoreLost,
 	}
+	v.scatterer.Holder = v.isHolder
 	v.scatterer.Windows = limiter.NewWindows(limiter.Allowance{
 		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
 	}, func() int { return max(v.fleet(), v.leastFleet()) })
@@ -55,9 +57,12 @@
 func (v *VM) joinRouting(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, JoinTimeout)
 	defer cancel()
-	if err := v.follower.Step(ctx); err != nil {
+	err := v.follower.Step(ctx)
+	if err != nil {
 		klog.ErrorS(err, "store: cannot be read at the start")
-		for _, a := range v.syncSome(ctx, JoinPeers) {
+	}
+	for _, a := range v.syncSome(ctx, JoinPeers) {
+		if err != nil {
 			v.pullFrom(ctx, a)
 		}
 	}
@@ -87,6 +92,11 @@
 		keep[view.Searchers[i].Address] = true
 	}
 	v.dialer.Trim(keep)
+	for i := range view.Searchers {
+		if !v.isHolder(view, int32(i)) {
+			v.dialer.TrimIdle(view.Searchers[i].Address, ShortIdle)
+		}
+	}
 	v.scatterer.Windows.Keep(func(n modeler.ServiceName) bool {
 		_, ok := view.Service(n)
 		return ok
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -120,7 +120,7 @@
 		return 0
 	}
 	if v.cfg.Routing != nil {
-		return limiter.Connections(service.Contract.Connections, max(holders, v.leastFleet()))
+		return v.share(s, service.Contract.Connections).Limit
 	}
 	return limiter.Connections(service.Contract.Connections, holders)
 }
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -87,6 +87,8 @@
 	listing   atomic.Pointer[modeler.Listing]
 	draining  atomic.Bool
 	idle      server.IdleConns
+	readers   readers
+	shares    shares
 	calls     atomic.Uint64
 	drain     chan struct{}
 	pulls     chan gossiper.Member
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -66,6 +66,9 @@
 	hold := s.hold
 	if req.Forward != nil {
 		r.picker.Stall = StallLimit
+		if s.Holder != nil {
+			r.picker.Holder = func(n int32) bool { return s.Holder(req.View, n) }
+		}
 		r.forwardPlan(&plan)
 		if len(plan.Shards) == 1 {
 			hold = func(bool) bool { return false }
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -23,6 +23,7 @@
 	Recorder   *recorder.Recorder
 	Budgets    *limiter.Budgets
 	Windows    *limiter.Windows
+	Holder     func(view *planner.View, searcher int32) bool
 
 	starved  atomic.Int64
 	now      func() time.Time
--- a/server/constants.go
+++ b/server/constants.go
@@ -15,7 +15,7 @@
 
 	TimeoutMargin   = 20 * time.Millisecond
 	ReturnMargin    = 10 * time.Millisecond
-	ObjectiveMargin = 12 * time.Millisecond
+	ObjectiveMargin = 22 * time.Millisecond
 	RouteRetryAfter = 100 * time.Millisecond
 )
 
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -25,29 +25,36 @@
 
 // Bounds of following the store.
 const (
-	MinWait    = 2500 * time.Millisecond
-	MaxWait    = 25 * time.Second
-	VMsPerWait = 100
-	maxPages   = 400
-	minRewatch = 20 * time.Millisecond
+	MinWait      = 2500 * time.Millisecond
+	MaxWait      = 25 * time.Second
+	VMsPerWait   = 100
+	maxPages     = 400
+	minRewatch   = 200 * time.Millisecond
+	readerPeriod = 100 * time.Millisecond
 )
 
-// Follower keeps one VM's store of values up to date with all keys of the platform's store.
+// Follower keeps one VM's store of values up to date with all keys of the platform's store, while the VM is one of its readers.
 type Follower struct {
 	List    func(ctx context.Context, after string) (Page, error)
 	Watch   func(ctx context.Context, after modeler.Revision, wait time.Duration) (Page, error)
 	Store   *configurer.Store
 	VMs     func() int
+	Reader  func() bool
+	Lost    func()
 	Changed func(refused []configurer.Refusal, changed bool)
 
-	lost  bool
-	fresh bool
+	lost   bool
+	cursor modeler.Revision
 }
 
 // Run lists and watches until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	failed := 0
 	for ctx.Err() == nil {
+		if !f.Reader() {
+			spawner.Sleep(ctx, readerPeriod)
+			continue
+		}
 		err := f.Step(ctx)
 		f.note(err)
 		if err == nil {
@@ -56,6 +63,7 @@
 			continue
 		}
 		failed++
+		f.Lost()
 		spawner.Sleep(ctx, configurer.Backoff(failed, rand.Float64()))
 	}
 	return ctx.Err()
@@ -63,19 +71,22 @@
 
 // Step lists all values if it has to, or else waits for a change.
 func (f *Follower) Step(ctx context.Context) error {
-	if !f.fresh {
+	f.cursor = max(f.cursor, f.Store.Head())
+	if f.Store.Head() == 0 {
 		return f.list(ctx)
 	}
-	p, err := f.Watch(ctx, f.Store.Head(), f.wait())
+	p, err := f.Watch(ctx, f.cursor, f.wait())
 	if errors.Is(err, ErrHistoryLost) {
-		klog.InfoS("store: history lost", "revision", f.Store.Head())
-		f.fresh = false
+		klog.InfoS("store: history lost", "revision", f.cursor)
 		return f.list(ctx)
 	}
 	if err != nil {
 		return err
 	}
-	f.Changed(f.Store.Offer(time.Now(), p.At, p.Values))
+	f.cursor = max(f.cursor, p.At)
+	if len(p.Values) > 0 {
+		f.Changed(f.Store.Offer(time.Now(), p.At, p.Values))
+	}
 	return nil
 }
 
@@ -104,7 +115,7 @@
 		after = p.Values[len(p.Values)-1].Key
 	}
 	f.Changed(f.Store.Replace(time.Now(), first, all))
-	f.fresh = true
+	f.cursor = first
 	return nil
 }
 
