Hedge after twice the usual latency, keep connections warm, say why attempts failed

Change: on routes the hedge delay is twice a clipped mean; VMs that hold connections to a searcher keep one open; buffers only while a connection is in use; each failed attempt is logged with its error.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -18,15 +19,48 @@
 	lastRead time.Time
 }
 
-func newConn(c net.Conn) *conn {
-	k := &conn{Conn: c}
-	k.r = bufio.NewReaderSize(c, readBufferSize)
-	k.w = bufio.NewWriterSize(c, writeBufferSize)
-	return k
+func newConn(c net.Conn) *conn { return &conn{Conn: c} }
+
+var (
+	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
+)
+
+// acquire gives the connection the buffers that it needs while in use.
+func (c *conn) acquire() {
+	if c.r != nil {
+		return
+	}
+	c.r = readers.Get().(*bufio.Reader)
+	c.r.Reset(c.Conn)
+	c.w = writers.Get().(*bufio.Writer)
+	c.w.Reset(c.Conn)
+}
+
+// release gives the buffers of an idle or closed connection back.
+func (c *conn) release() {
+	if c.r == nil {
+		return
+	}
+	c.r.Reset(nil)
+	readers.Put(c.r)
+	c.w.Reset(nil)
+	writers.Put(c.w)
+	c.r, c.w = nil, nil
 }
 
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
+
+// leftOver reports whether bytes came after the answer.
+func (c *conn) leftOver() bool { return c.r != nil && c.r.Buffered() > 0 }
+
 // exchange sends one request and reads the whole answer; silent says that no byte of an answer came. Once the context ends it waits for no longer than the linger, so that a connection is not lost for an answer that is nearly there.
 func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, linger time.Duration) (silent bool, err error) {
+	c.acquire()
 	cut := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Now().Add(linger))
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -97,6 +97,7 @@
 	Draining bool
 	Held     []modeler.SnapshotID
 	Late     bool
+	Err      error
 
 	Status      int
 	Stamp       string
@@ -108,7 +109,7 @@
 	p := d.pool(call.Address)
 	c, err := p.take(ctx, d.now(), d.silence.trustedSince(), trustOf(call))
 	if err != nil {
-		return Reply{Fault: gatherer.FaultNotSent}
+		return Reply{Fault: gatherer.FaultNotSent, Err: err}
 	}
 	if !d.now().Before(call.Deadline) {
 		p.put(c, c.lastRead)
@@ -121,10 +122,10 @@
 	res.SkipBody = req.Header.IsHead()
 	sent := d.now()
 	if silent, err := c.exchange(ctx, req, res, call.Linger); err != nil {
-		return Reply{Fault: d.failed(ctx, p, c, sent, silent)}
+		return Reply{Fault: d.failed(ctx, p, c, sent, silent), Err: err}
 	}
 	r := d.wire.Read(res, &call)
-	if r.Fault == gatherer.FaultCrossed || c.r.Buffered() > 0 {
+	if r.Fault == gatherer.FaultCrossed || c.leftOver() {
 		p.retire(c, time.Time{})
 	} else {
 		d.give(p, c, res)
@@ -266,6 +267,25 @@
 	}
 }
 
+// HasIdle reports whether a connection to the searcher is open and free.
+func (d *Dialer) HasIdle(a netip.AddrPort) bool {
+	d.mu.Lock()
+	p := d.pools[a]
+	d.mu.Unlock()
+	return p != nil && p.hasIdle()
+}
+
+// Warm opens a connection to the searcher if there is none.
+func (d *Dialer) Warm(ctx context.Context, a netip.AddrPort) {
+	p := d.pool(a)
+	if open, _ := p.size(); open > 0 {
+		return
+	}
+	if c, err := p.take(ctx, d.now(), time.Time{}, newOnly); err == nil {
+		p.put(c, d.now())
+	}
+}
+
 // Rebudget applies the budgets at once, when the VMs that share them have changed.
 func (d *Dialer) Rebudget() {
 	d.mu.Lock()
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -116,6 +116,7 @@
 func (p *pool) put(c *conn, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.release()
 	c.lastRead = now
 	if now.After(p.answered) {
 		p.answered = now
@@ -197,6 +198,12 @@
 	return p.answered.After(t)
 }
 
+func (p *pool) hasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
 // trimIdle closes connections idle for longer than the limit.
 func (p *pool) trimIdle(now time.Time, limit time.Duration) {
 	p.mu.Lock()
--- a/gatherer/event.go
+++ b/gatherer/event.go
@@ -1,6 +1,11 @@
 package gatherer
 
-import "github.com/pistachiogap/pistachiogap/modeler"
+import (
+	"strconv"
+	"strings"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
 
 // Fault says how an attempt ended without an answer.
 type Fault uint8
@@ -25,6 +30,20 @@
 // String returns the kebab-case name of the fault.
 func (f Fault) String() string { return faultNames[f] }
 
+// FaultCounts counts attempts by the fault that ended them.
+type FaultCounts [FaultMisdirected + 1]int
+
+// String names the faults that occurred with their counts.
+func (c FaultCounts) String() string {
+	var parts []string
+	for f, n := range c {
+		if n > 0 {
+			parts = append(parts, Fault(f).String()+" "+strconv.Itoa(n))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
 // ParseFault returns the fault with the name, or FaultNone.
 func ParseFault(name string) Fault {
 	for i, n := range faultNames {
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -9,6 +9,9 @@
 	PeakFactor       = 3.0
 	SlowAnswers      = 2
 	TypicalWeight    = 0.05
+	TypicalHedge     = 2.0
+	MinTypicalHedge  = 8 * time.Millisecond
+	UnknownHedge     = 30 * time.Millisecond
 	ShedLatency      = 100 * time.Millisecond
 	CensoredFactor   = 2.0
 	ForgetLatency    = 10 * time.Second
--- a/observer/service.go
+++ b/observer/service.go
@@ -18,11 +18,13 @@
 	delay    time.Duration
 	computed time.Time
 	typical  atomic.Uint64
+	unknown  atomic.Bool
 }
 
 // NewService makes a service without samples; it takes memory for them only once there are some.
 func NewService() *Service {
 	s := &Service{delay: InitialHedge}
+	s.unknown.Store(true)
 	s.typical.Store(math.Float64bits(float64(InitialLatency)))
 	return s
 }
@@ -30,6 +32,14 @@
 // Typical returns the usual latency of the service's answers in nanoseconds.
 func (s *Service) Typical() float64 { return math.Float64frombits(s.typical.Load()) }
 
+// HedgeAfterTypical returns a multiple of the usual latency, which pauses of searchers do not raise as they do a quantile.
+func (s *Service) HedgeAfterTypical() time.Duration {
+	if s.unknown.Load() {
+		return UnknownHedge
+	}
+	return max(MinTypicalHedge, time.Duration(TypicalHedge*s.Typical()))
+}
+
 // Record adds the latency of one answer.
 func (s *Service) Record(latency time.Duration) {
 	s.mu.Lock()
@@ -41,8 +51,9 @@
 	typical := s.Typical()
 	if s.samples == 0 {
 		typical = float64(latency)
+		s.unknown.Store(false)
 	}
-	typical += TypicalWeight * (min(float64(latency), PeakFactor*typical) - typical)
+	typical += max(TypicalWeight, 1/float64(s.samples+1)) * (min(float64(latency), PeakFactor*typical) - typical)
 	s.typical.Store(math.Float64bits(typical))
 	s.samples++
 	if s.samples%WindowSamples == 0 {
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -17,7 +17,7 @@
 	Random   func(n int) int
 	Usable   func(searcher int32) bool
 	Stall    time.Duration
-	Holder   func(searcher int32) bool
+	Ready    func(searcher int32) bool
 }
 
 // Pick returns a replica of the shard that was not tried: the cheapest that is usable, else of those ejected, never one that drains.
@@ -103,7 +103,7 @@
 // link returns the delay to a searcher and back, twice if a connection has to be opened first.
 func (p *Picker) link(r int32) time.Duration {
 	link := p.View.Searchers[r].Link
-	if p.Holder != nil && !p.Holder(r) {
+	if p.Ready != nil && !p.Ready(r) {
 		link += link + ConnectCost
 	}
 	return link
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -33,6 +33,8 @@
 	LeaveLinger    = 700 * time.Millisecond
 
 	StoreLostPeriod  = 5 * time.Second
+	WarmAtOnce       = 16
+	WarmTimeout      = 500 * time.Millisecond
 	ShortIdle        = time.Second
 	RouteLeaveLinger = 150 * time.Millisecond
 )
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/pistachiogap/pistachiogap/platform"
 	"github.com/pistachiogap/pistachiogap/scatterer"
 	"github.com/pistachiogap/pistachiogap/server"
+	"github.com/pistachiogap/pistachiogap/spawner"
 	"github.com/pistachiogap/pistachiogap/watcher"
 )
 
@@ -44,7 +46,6 @@
 		List: v.storeCalls.List, Watch: v.storeCalls.Watch, Store: v.store, VMs: v.fleet, Changed: v.configured,
 		Reader: v.readsStore, Lost: v.tellStoreLost,
 	}
-	v.scatterer.Holder = v.isHolder
 	v.scatterer.Windows = limiter.NewWindows(limiter.Allowance{
 		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
 	}, func() int { return max(v.fleet(), v.leastFleet()) })
@@ -76,12 +77,40 @@
 		select {
 		case <-ticker.C:
 			v.trim()
+			v.warm(ctx)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 	}
 }
 
+// warm opens connections to searchers that this VM holds connections to and has none of, a few at a time from a random place, so that a hedge needs not wait for one.
+func (v *VM) warm(ctx context.Context) {
+	view := v.view.Load()
+	if view == nil || len(view.Searchers) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, WarmTimeout)
+	defer cancel()
+	var ends []<-chan error
+	offset := rand.IntN(len(view.Searchers))
+	for i := range view.Searchers {
+		n := (i + offset) % len(view.Searchers)
+		s := &view.Searchers[n]
+		if len(ends) == WarmAtOnce {
+			break
+		}
+		if !s.Until.IsZero() || s.Belief.Ejected(time.Now()) || v.dialer.HasIdle(s.Address) || !v.isHolder(view, int32(n)) {
+			continue
+		}
+		ends = append(ends, spawner.Go(ctx, func(ctx context.Context) error {
+			v.dialer.Warm(ctx, s.Address)
+			return nil
+		}))
+	}
+	_ = spawner.Wait(ends...)
+}
+
 func (v *VM) trim() {
 	view := v.view.Load()
 	if view == nil {
@@ -145,7 +174,7 @@
 	fields := []any{
 		"id", string(f.ID), "route", string(f.Route), "revision", uint64(f.Config), "outcome", f.Outcome, "status", f.Status,
 		"took-ms", f.Took.Milliseconds(), "shards", res.Shards, "answered", res.Answered, "sent", res.Sent,
-		"shed", res.Shed, "lost", res.Lost, "may-have-run", res.MayHaveRun,
+		"faults", res.Faults.String(), "may-have-run", res.MayHaveRun,
 	}
 	if f.Status < http.StatusMultipleChoices && f.Outcome == string(server.Complete) {
 		klog.InfoS("request: answered", fields...)
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -1,6 +1,8 @@
 package scatterer
 
 import (
+	"k8s.io/klog/v2"
+
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -21,6 +23,7 @@
 		Parts:    r.parts,
 		Failure:  r.failure,
 
+		Faults:     r.faults,
 		MayHaveRun: r.query.MayHaveRun(),
 	}
 	res.Documents, res.Total = r.query.Documents()
@@ -59,6 +62,16 @@
 	}))
 }
 
+// logFault says which attempt of a request on a route failed, at which searcher and why.
+func (r *run) logFault(e *end) {
+	if r.req.Forward == nil || e.event.Fault == gatherer.FaultShed {
+		return
+	}
+	s := &r.req.View.Searchers[r.attempted[e.event.Attempt]]
+	klog.InfoS("attempt: failed", "id", string(r.req.ID), "searcher", string(s.Name), "address", s.Address.String(),
+		"fault", e.event.Fault.String(), "status", e.reply.Status, "error", e.reply.Err)
+}
+
 func (r *run) notePlan(plan gatherer.Plan) {
 	now := r.s.now()
 	note := &recorder.PlanNote{
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -29,25 +29,27 @@
 
 // run is one query under way.
 type run struct {
-	s       *Scatterer
-	req     Request
-	picker  planner.Picker
-	print   observer.Fingerprint
-	prefix  string
-	query   *gatherer.Query
-	ends    chan end
-	hedges  *limiter.Budget
-	retries *limiter.Budget
-	cancels []context.CancelFunc
-	reached map[int32]bool
-	hits    []dialer.Hit
-	parts   []Part
-	failure *dialer.Reply
-	notes   []recorder.Event
-	sampled bool
-	shed    atomic.Int64
-	crashed bool
-	notHeld bool
+	s         *Scatterer
+	req       Request
+	picker    planner.Picker
+	print     observer.Fingerprint
+	prefix    string
+	query     *gatherer.Query
+	ends      chan end
+	hedges    *limiter.Budget
+	retries   *limiter.Budget
+	cancels   []context.CancelFunc
+	attempted []int32
+	reached   map[int32]bool
+	hits      []dialer.Hit
+	parts     []Part
+	failure   *dialer.Reply
+	faults    gatherer.FaultCounts
+	notes     []recorder.Event
+	sampled   bool
+	shed      atomic.Int64
+	crashed   bool
+	notHeld   bool
 }
 
 func newRun(s *Scatterer, req Request) *run {
@@ -66,9 +68,7 @@
 	hold := s.hold
 	if req.Forward != nil {
 		r.picker.Stall = StallLimit
-		if s.Holder != nil {
-			r.picker.Holder = func(n int32) bool { return s.Holder(req.View, n) }
-		}
+		r.picker.Ready = func(n int32) bool { return s.Dialer.HasIdle(req.View.Searchers[n].Address) }
 		r.forwardPlan(&plan)
 		if len(plan.Shards) == 1 {
 			hold = func(bool) bool { return false }
@@ -131,6 +131,9 @@
 	if n < 0 {
 		return observer.InitialHedge
 	}
+	if r.req.Forward != nil {
+		return r.s.hedgeAt(r.req.View.Services[n].Belief.HedgeAfterTypical())
+	}
 	return r.s.hedgeAt(r.req.View.Services[n].Belief.HedgeDelay(r.s.now(), r.req.Index.Policy.HedgeQuantile))
 }
 
@@ -144,6 +147,8 @@
 func (r *run) event(e *end) *gatherer.Event {
 	if e.event.Kind == gatherer.EventFault {
 		r.noteFault(e)
+		r.logFault(e)
+		r.faults[e.event.Fault]++
 		if e.event.Fault == gatherer.FaultRejected {
 			r.failure = &e.reply
 		}
@@ -181,6 +186,7 @@
 func (r *run) send(ctx context.Context, a gatherer.Action) {
 	ctx, cancel := context.WithCancel(ctx)
 	r.cancels = append(r.cancels, cancel)
+	r.attempted = append(r.attempted, a.Searcher)
 	r.reached[a.Searcher] = true
 	r.note(recorder.AttemptSent, a)
 	call := dialer.Call{
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -23,7 +23,6 @@
 	Recorder   *recorder.Recorder
 	Budgets    *limiter.Budgets
 	Windows    *limiter.Windows
-	Holder     func(view *planner.View, searcher int32) bool
 
 	starved  atomic.Int64
 	now      func() time.Time
@@ -148,7 +147,7 @@
 	Parts      []Part
 	Failure    *dialer.Reply
 	MayHaveRun bool
-	Notes      []string
+	Faults     gatherer.FaultCounts
 }
 
 // Part is the answer of one shard of a route.
