--- a/runner/neighbours.go
+++ b/runner/neighbours.go
@@ -18,6 +18,7 @@
 // crowd is the part of the membership that hot paths read.
 type crowd struct {
 	alive  int
+	live   []gossiper.Member
 	domain []modeler.VMName
 	relays []gossiper.Member
 }
@@ -32,6 +33,7 @@
 			continue
 		}
 		c.alive++
+		c.live = append(c.live, m)
 		if m.Domain == v.cfg.FailureDomain {
 			c.domain = append(c.domain, m.Name)
 		}
--- a/runner/readers.go
+++ b/runner/readers.go
@@ -61,7 +61,7 @@
 	if alone || v.store.Head() == 0 {
 		return true
 	}
-	return configurer.IsStoreReader(v.cfg.Name, v.readers.able(v.gossip.Members(), now))
+	return configurer.IsStoreReader(v.cfg.Name, v.readers.able(v.crowd.Load().live, now))
 }
 
 // tellStoreLost lets other VMs read in place of this one.
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -2,10 +2,8 @@
 
 import (
 	"net/netip"
-	"slices"
 	"sync"
 
-	"github.com/pistachiogap/pistachiogap/gossiper"
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/planner"
@@ -43,27 +41,28 @@
 	return v.shares.get(s.Address, func() limiter.Share {
 		regions := v.cfg.Routing.Regions
 		region := regions[s.FailureDomain]
-		var far []modeler.VMName
-		near := 0
-		for _, m := range v.gossip.Members() {
-			switch {
-			case m.State > gossiper.Suspect:
-			case regions[m.Domain] == region:
-				near++
-			default:
-				far = append(far, m.Name)
-			}
-		}
+		near, far := v.crowd.Load().split(regions, region)
 		unknown := max(0, v.leastFleet()-near-len(far))
-		isNear := regions[v.cfg.FailureDomain] == region
-		rank := 0
-		if !isNear {
-			rank = slices.Index(planner.Rank(s.Address.String(), far, len(far)), v.cfg.Name)
+		if regions[v.cfg.FailureDomain] == region {
+			return limiter.ShareOf(connections, near, len(far)+unknown, true, 0)
 		}
-		return limiter.ShareOf(connections, near, len(far)+unknown, isNear, rank)
+		return limiter.ShareOf(connections, near, len(far)+unknown, false, planner.RankOf(s.Address.String(), v.cfg.Name, far))
 	})
 }
 
+// split counts the live VMs of a region and names those of the others.
+func (c *crowd) split(regions map[modeler.FailureDomain]string, region string) (near int, far []modeler.VMName) {
+	far = make([]modeler.VMName, 0, len(c.live))
+	for _, m := range c.live {
+		if regions[m.Domain] == region {
+			near++
+		} else {
+			far = append(far, m.Name)
+		}
+	}
+	return near, far
+}
+
 // isHolder reports whether this VM may keep connections to a searcher open.
 func (v *VM) isHolder(view *planner.View, n int32) bool {
 	s := &view.Searchers[n]
