--- a/commander/commander_test.go
+++ b/commander/commander_test.go
@@ -8,14 +8,14 @@
 )
 
 func TestDocsNameEveryCommand(t *testing.T) {
-	b, err := os.ReadFile("../docs/OPERATORS.md")
+	b, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	var out bytes.Buffer
 	for _, c := range newApp(&out, &out).Commands {
 		if !strings.Contains(string(b), "| `"+c.Name+"` |") {
-			t.Errorf("docs/OPERATORS.md does not name %s", c.Name)
+			t.Errorf("docs/OPERATIONS.md does not name %s", c.Name)
 		}
 	}
 }
--- a/recorder/recorder_test.go
+++ b/recorder/recorder_test.go
@@ -76,13 +76,13 @@
 }
 
 func TestDocsNameEveryEvent(t *testing.T) {
-	b, err := os.ReadFile("../docs/OPERATORS.md")
+	b, err := os.ReadFile("../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, k := range EventKinds() {
 		if !strings.Contains(string(b), "`"+string(k)+"`") {
-			t.Errorf("docs/OPERATORS.md does not name %s", k)
+			t.Errorf("docs/OPERATIONS.md does not name %s", k)
 		}
 	}
 }
--- a/runner/settings_test.go
+++ b/runner/settings_test.go
@@ -22,6 +22,33 @@
 	}
 }
 
+func TestExampleOfThePlatform(t *testing.T) {
+	b, err := os.ReadFile("../examples/platform.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := parser.Decode[Settings]("platform.jsonc", b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := cfg.Routing; cfg.DrainDelay.Duration+cfg.Grace.Duration >= r.KillAfter.Duration {
+		t.Errorf("drains for %s and waits for %s, but is killed after %s", cfg.DrainDelay, cfg.Grace, r.KillAfter)
+	}
+}
+
+func TestRoutingIsChecked(t *testing.T) {
+	cfg := Settings{Routing: &Routing{}}
+	found := map[string]bool{}
+	for _, p := range cfg.Check() {
+		found[p.Pointer] = true
+	}
+	for _, pointer := range []string{"/routing/ready", "/routing/store", "/routing/kill-after", "/routing/drain-within"} {
+		if !found[pointer] {
+			t.Errorf("%s is not checked", pointer)
+		}
+	}
+}
+
 func TestExampleSettings(t *testing.T) {
 	b, err := os.ReadFile("../examples/entry-1.jsonc")
 	if err != nil {
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -1,6 +1,9 @@
 package scatterer
 
 import (
+	"context"
+
+	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/pistachiogap/pistachiogap/dialer"
@@ -64,7 +67,7 @@
 
 // logFault says which attempt of a request on a route failed, at which searcher and why.
 func (r *run) logFault(e *end) {
-	if r.req.Forward == nil || e.event.Fault == gatherer.FaultShed {
+	if r.req.Forward == nil || errors.Is(e.reply.Err, context.Canceled) {
 		return
 	}
 	s := &r.req.View.Searchers[r.attempted[e.event.Attempt]]
@@ -72,6 +75,16 @@
 		"fault", e.event.Fault.String(), "status", e.reply.Status, "error", e.reply.Err)
 }
 
+// logExtra says that an attempt beside the first is sent, and what decided it.
+func (r *run) logExtra(a gatherer.Action) {
+	if r.req.Forward == nil || a.Purpose == gatherer.Primary {
+		return
+	}
+	s := &r.req.View.Searchers[a.Searcher]
+	klog.InfoS("attempt: extra", "id", string(r.req.ID), "shard", string(r.shardName(a.Shard)), "purpose", a.Purpose.String(), "searcher", string(s.Name),
+		"after-ms", r.s.now().Sub(r.start).Milliseconds(), "hedge-delay-ms", r.hedgeAfter(a.Shard).Milliseconds(), "revision", uint64(r.req.View.Revision))
+}
+
 func (r *run) notePlan(plan gatherer.Plan) {
 	now := r.s.now()
 	note := &recorder.PlanNote{
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -40,6 +40,7 @@
 	retries   *limiter.Budget
 	cancels   []context.CancelFunc
 	attempted []int32
+	start     time.Time
 	reached   map[int32]bool
 	hits      []dialer.Hit
 	parts     []Part
@@ -59,6 +60,7 @@
 		print:   printOf(&req),
 		prefix:  string(req.ID) + "." + strconv.FormatUint(rand.Uint64(), 36) + ".",
 		ends:    make(chan end, len(req.Snapshot.Shards)+eventSlack),
+		start:   s.now(),
 		reached: make(map[int32]bool, len(req.Snapshot.Shards)),
 		sampled: s.Recorder.Sampled(req.ID),
 	}
@@ -189,6 +191,7 @@
 	r.attempted = append(r.attempted, a.Searcher)
 	r.reached[a.Searcher] = true
 	r.note(recorder.AttemptSent, a)
+	r.logExtra(a)
 	call := dialer.Call{
 		Address:  r.req.View.Searchers[a.Searcher].Address,
 		Path:     "/v1/search",
