--- a/faker/proxy.go
+++ b/faker/proxy.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
@@ -18,8 +19,13 @@
 	LinkUp LinkState = iota
 	LinkCut
 	LinkSilent
+	LinkSlow   // each piece is late by SlowLink
+	LinkOneWay // nothing comes back
 )
 
+// SlowLink is the delay of a slow link.
+const SlowLink = 60 * time.Millisecond
+
 // Proxy stands for the network before one VM's peers' port: it passes, cuts or swallows what other VMs send there.
 type Proxy struct {
 	Address netip.AddrPort
@@ -100,8 +106,8 @@
 	p.mu.Lock()
 	p.flows[c], p.flows[t] = from, from
 	p.mu.Unlock()
-	back := spawner.Go(ctx, func(context.Context) error { return p.copy(c, t, from) })
-	_ = p.copy(t, c, from)
+	back := spawner.Go(ctx, func(context.Context) error { return p.copy(c, t, from, true) })
+	_ = p.copy(t, c, from, false)
 	<-back
 	p.mu.Lock()
 	delete(p.flows, c)
@@ -111,7 +117,7 @@
 }
 
 // copy passes bytes on until an end closes; on a silent link it swallows them.
-func (p *Proxy) copy(to, from net.Conn, sender netip.Addr) error {
+func (p *Proxy) copy(to, from net.Conn, sender netip.Addr, back bool) error {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -119,7 +125,11 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if n > 0 && p.rule(sender) == LinkUp {
+		state := p.rule(sender)
+		if state == LinkSlow {
+			time.Sleep(SlowLink)
+		}
+		if passes := state == LinkUp || state == LinkSlow || (state == LinkOneWay && !back); n > 0 && passes {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return err
 			}
