A searcher that refuses a check is alive

Cause: the judge of a crashing request took a bystander that answered its load endpoint with 503 (connection limit, full) for dead; then the failure domain is blamed and a shard goes to a second replica. Change: only a connection that is refused or ends counts as dead.

--- a/configurer/store.go
+++ b/configurer/store.go
@@ -36,6 +36,7 @@
 	refused  Value
 	reason   string
 	leaving  []modeler.Registration
+	deleted  time.Time
 }
 
 // Store holds the values in force on one VM.
@@ -114,6 +115,17 @@
 	return s.Offer(now, at, values)
 }
 
+// Prune forgets the keys that were deleted before the time; peers that ask are sent later changes only.
+func (s *Store) Prune(before time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, e := range s.entries {
+		if !e.deleted.IsZero() && e.deleted.Before(before) {
+			delete(s.entries, k)
+		}
+	}
+}
+
 func (s *Store) offer(now time.Time, v Value) (*Refusal, bool) {
 	e := s.entries[v.Key]
 	if e == nil {
@@ -133,6 +145,10 @@
 	}
 	e.leave(now, parsed, s.hold)
 	e.accepted, e.parsed = v, parsed
+	e.deleted = time.Time{}
+	if len(v.Text) == 0 {
+		e.deleted = now
+	}
 	if parsed.Ignored != "" {
 		return &Refusal{v.Key, v.Revision, parsed.Ignored}, true
 	}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 
@@ -205,11 +206,17 @@
 	}
 	d.give(p, c, res)
 	if res.StatusCode() != fasthttp.StatusOK {
-		return Load{}, errors.Errorf("load endpoint answered %d", res.StatusCode())
+		return Load{}, &refusedLoad{res.StatusCode()}
 	}
 	return parser.DecodeStrict[Load](res.Body())
 }
 
+// refusedLoad says that a searcher answered its load endpoint with another status than 200.
+type refusedLoad struct{ status int }
+
+// Error names the status.
+func (e *refusedLoad) Error() string { return "load endpoint answered " + strconv.Itoa(e.status) }
+
 // Liveness is what a check of a searcher shows.
 type Liveness uint8
 
@@ -233,8 +240,9 @@
 	default:
 		p.put(c, d.now())
 	}
+	var refused *refusedLoad
 	switch {
-	case err == nil:
+	case err == nil, errors.As(err, &refused):
 		return Alive
 	case ctx.Err() != nil:
 		return Unclear
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -278,6 +278,14 @@
 	if l := d.Check(t.Context(), u.addr, time.Minute); l != Alive {
 		t.Errorf("an answering searcher is %d", l)
 	}
+	busy := startUpstream(t, func(c net.Conn, _ int64) bool {
+		body := `{"kind":"connection-limit"}`
+		_, err := fmt.Fprintf(c, "HTTP/1.1 503 X\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		return err == nil
+	})
+	if l := d.Check(t.Context(), busy.addr, time.Minute); l != Alive {
+		t.Errorf("a searcher that refuses a check is %d, though it answers", l)
+	}
 	_ = u.listener.Close()
 	u.closeAll()
 	if l := d.Check(t.Context(), u.addr, time.Minute); l != Dead {
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -62,9 +62,10 @@
 	NewsQuarantine NewsKind = iota + 1
 	NewsDraining
 	NewsStoreLost
+	NewsSuspect
 )
 
-// News is something that every VM has to know at once: a quarantined request, a draining searcher, or a VM that cannot read the platform's store.
+// News is something that every VM has to know at once: a quarantined request, one that crashed a searcher once, a draining searcher, or a VM that cannot read the platform's store.
 type News struct {
 	Kind    NewsKind
 	Subject uint64
@@ -127,10 +128,10 @@
 
 func newsFromWire(w *messenger.News) (News, error) {
 	n := News{Kind: NewsKind(w.GetKind()), Subject: w.GetSubject(), Until: time.UnixMilli(w.GetUntilMillis())}
-	if n.Kind < NewsQuarantine || n.Kind > NewsStoreLost {
+	if n.Kind < NewsQuarantine || n.Kind > NewsSuspect {
 		return News{}, errors.Errorf("news of kind %d is unknown", w.GetKind())
 	}
-	if n.Kind != NewsQuarantine {
+	if n.Kind == NewsDraining || n.Kind == NewsStoreLost {
 		a, err := netip.ParseAddrPort(w.GetAddress())
 		if err != nil {
 			return News{}, err
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -14,6 +14,8 @@
 	DefaultListPeriod   = 5 * time.Second
 	DefaultEvents       = 1 << 14
 	MinFleet            = 8
+	UnknownFleet        = 100
+	LearnPeriod         = 2 * time.Second
 	MinKillAfter        = 2 * time.Second
 	LeaveMargin         = 800 * time.Millisecond
 	ReplayedHold        = 2200 * time.Millisecond
@@ -35,6 +37,7 @@
 	StoreLostPeriod  = 5 * time.Second
 	WarmAtOnce       = 16
 	WarmTimeout      = 500 * time.Millisecond
+	DeletedMemory    = 10 * time.Minute
 	ShortIdle        = time.Second
 	RouteLeaveLinger = 150 * time.Millisecond
 )
--- a/runner/news.go
+++ b/runner/news.go
@@ -20,6 +20,10 @@
 		if v.quarantine.Add(observer.Fingerprint(n.Subject), now, n.Until) {
 			v.recorder.Record(recorder.Event{Kind: recorder.RequestQuarantined, Detail: "told by a peer"})
 		}
+	case gossiper.NewsSuspect:
+		if v.quarantine.Suspect(observer.Fingerprint(n.Subject), now) {
+			v.quarantine.Add(observer.Fingerprint(n.Subject), now, n.Until)
+		}
 	case gossiper.NewsStoreLost:
 		v.readers.lost(n.Address, now)
 	case gossiper.NewsDraining:
@@ -36,6 +40,14 @@
 	}
 }
 
+// foundSuspect tells the others of a request that crashed one searcher, so that a second crash anywhere quarantines it.
+func (v *VM) foundSuspect(f observer.Fingerprint, until time.Time) {
+	klog.InfoS("search: request crashed a searcher", "fingerprint", uint64(f))
+	if v.mechanisms.TellNews {
+		v.gossip.Tell(gossiper.News{Kind: gossiper.NewsSuspect, Subject: uint64(f), Until: until})
+	}
+}
+
 func (v *VM) foundDraining(s *planner.Searcher) { v.tellDraining(s.Address, "in band") }
 
 func (v *VM) tellDraining(a netip.AddrPort, source string) {
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -48,7 +48,16 @@
 	}
 	v.scatterer.Windows = limiter.NewWindows(limiter.Allowance{
 		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
-	}, func() int { return max(v.fleet(), v.leastFleet()) })
+	}, v.sharers)
+}
+
+// sharers returns how many VMs are taken to share the fleet's allowances: many, as long as the members may not all be known.
+func (v *VM) sharers() int {
+	n := max(v.fleet(), v.leastFleet())
+	if time.Since(v.started) < LearnPeriod || v.crowd.Load().alive <= 1 {
+		return max(n, UnknownFleet)
+	}
+	return n
 }
 
 // leastFleet is how many VMs are assumed while the members are not yet known.
@@ -120,6 +129,7 @@
 	for i := range view.Searchers {
 		keep[view.Searchers[i].Address] = true
 	}
+	v.store.Prune(time.Now().Add(-DeletedMemory))
 	v.dialer.Trim(keep)
 	for i := range view.Searchers {
 		if !v.isHolder(view, int32(i)) {
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -174,7 +174,7 @@
 	v.admitter = limiter.NewAdmitter()
 	v.dialer = dialer.NewDialer(local, v.dialerOptions()...)
 	v.scatterer = scatterer.NewScatterer(v.dialer, v.observer, v.quarantine, v.recorder,
-		append([]scatterer.Option{scatterer.WithDraining(v.foundDraining), scatterer.WithPoisoned(v.foundPoison), scatterer.WithPressure(v.admitter.Pressed)}, v.mechanisms.Scatterer...)...)
+		append([]scatterer.Option{scatterer.WithDraining(v.foundDraining), scatterer.WithPoisoned(v.foundPoison), scatterer.WithSuspect(v.foundSuspect), scatterer.WithPressure(v.admitter.Pressed)}, v.mechanisms.Scatterer...)...)
 	v.store = configurer.NewStore(append(v.storeOptions(), v.mechanisms.Store...)...)
 	v.platform = watcher.NewClient(v.cfg.Platform, func() { v.calls.Add(1) })
 	v.watcher = &watcher.Watcher{
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -8,6 +8,7 @@
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
 )
 
 // forwardPlan puts the policy of a route into the plan of a query.
@@ -82,7 +83,10 @@
 	if n == 0 {
 		return
 	}
-	if again := r.s.Quarantine.Suspect(r.print, r.s.now()); again || n >= gatherer.PoisonLosses {
+	now := r.s.now()
+	if again := r.s.Quarantine.Suspect(r.print, now); again || n >= gatherer.PoisonLosses {
 		r.quarantine()
+		return
 	}
+	r.s.suspect(r.print, now.Add(observer.QuarantinePeriod))
 }
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -31,6 +31,7 @@
 	matches  func(want, got gatherer.Claim) bool
 	draining func(*planner.Searcher)
 	poisoned func(observer.Fingerprint, time.Time)
+	suspect  func(observer.Fingerprint, time.Time)
 	spend    func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
 	hedgeAt  func(learned time.Duration) time.Duration
 	pressed  func(now time.Time) bool
@@ -58,6 +59,11 @@
 	return func(s *Scatterer) { s.poisoned = f }
 }
 
+// WithSuspect sets what is told of a request that crashed one searcher, and until when that is remembered.
+func WithSuspect(f func(observer.Fingerprint, time.Time)) Option {
+	return func(s *Scatterer) { s.suspect = f }
+}
+
 // WithSpend sets the rule that allows or denies an extra attempt.
 func WithSpend(f func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool) Option {
 	return func(s *Scatterer) { s.spend = f }
@@ -93,6 +99,7 @@
 		matches:  gatherer.MatchesExactly,
 		draining: func(*planner.Searcher) {},
 		poisoned: func(observer.Fingerprint, time.Time) {},
+		suspect:  func(observer.Fingerprint, time.Time) {},
 		spend:    SpendBudgets,
 		pressed:  func(time.Time) bool { return false },
 		hedgeAt:  func(learned time.Duration) time.Duration { return learned },
