--- a/commander/serve.go
+++ b/commander/serve.go
@@ -22,7 +22,7 @@
 const SettingsVariable = "PISTACHIOGAP_SETTINGS"
 
 // gcPercent weighs the memory of a small heap against the processor time of collections.
-const gcPercent = 100
+const gcPercent = 50
 
 // settingsPeriod is how often the settings file is looked at, for it may change without a signal.
 const settingsPeriod = 5 * time.Second
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -283,12 +283,12 @@
 	return p != nil && p.hasIdle()
 }
 
-// Warm opens a connection to the searcher if there is none.
+// NeedsWarming reports whether no open connection to the searcher is free and another one is allowed; connections that the searcher has closed are dropped.
+func (d *Dialer) NeedsWarming(a netip.AddrPort) bool { return d.pool(a).needsWarming(d.now()) }
+
+// Warm opens a connection to the searcher.
 func (d *Dialer) Warm(ctx context.Context, a netip.AddrPort) {
 	p := d.pool(a)
-	if open, _ := p.size(); open > 0 {
-		return
-	}
 	if c, err := p.take(ctx, d.now(), time.Time{}, newOnly); err == nil {
 		p.put(c, d.now())
 	}
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -112,6 +112,27 @@
 	return Call{Address: u.addr, Path: "/v1/order", Request: "r", Attempt: "r.0", Deadline: time.Now().Add(time.Minute), Body: []byte("{}")}
 }
 
+func TestWarmKeepsOneConnectionFree(t *testing.T) {
+	u := startUpstream(t, answers)
+	d := newTestDialer(t, 2)
+	if !d.NeedsWarming(u.addr) {
+		t.Error("no connection is open and none is wanted")
+	}
+	d.Warm(t.Context(), u.addr)
+	if !d.HasIdle(u.addr) || d.NeedsWarming(u.addr) {
+		t.Error("a warmed connection is not free")
+	}
+	for end := time.Now().Add(5 * time.Second); !d.NeedsWarming(u.addr); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a connection that the searcher closed still counts as free")
+		}
+		u.closeAll()
+	}
+	if open, _ := d.Open(); open != 0 {
+		t.Errorf("%d connections are left of one that the searcher closed", open)
+	}
+}
+
 func TestDoNeverSendsTwice(t *testing.T) {
 	u := startUpstream(t, func(c net.Conn, n int64) bool { return n == 1 && answers(c, n) })
 	d := newTestDialer(t, 2)
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -198,6 +198,17 @@
 	return p.answered.After(t)
 }
 
+func (p *pool) needsWarming(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.idle) > 0 && p.idle[len(p.idle)-1].stale() {
+		_ = p.idle[len(p.idle)-1].Close()
+		p.idle = p.idle[:len(p.idle)-1]
+		p.open--
+	}
+	return len(p.idle) == 0 && p.open < p.budget(now)
+}
+
 func (p *pool) hasIdle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
