--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -167,7 +167,7 @@
 	}
 	for _, x := range all {
 		for _, r := range x.Requests() {
-			id := r.Header.Get("X-Attempt-Id")
+			id := imitator.IDOf(r)
 			if strings.HasPrefix(r.URL.Path, "/book/") && booked[id] > 1 {
 				w.history.violation("%s ran %d times", r.URL.Path, booked[id])
 			}
--- a/soaker/trip_test.go
+++ b/soaker/trip_test.go
@@ -16,8 +16,7 @@
 	t.Cleanup(x.Close)
 	for range times {
 		r := httptest.NewRequest(http.MethodPost, path, http.NoBody)
-		r.Header.Set("X-Attempt-Id", id)
-		r.Header.Set("X-Expected-Instance", service+"-1")
+		imitator.Address(r, id, service+"-1")
 		x.ServeHTTP(httptest.NewRecorder(), r)
 	}
 	return x
--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -149,28 +150,9 @@
 func (w *world) publish(lookup string, version int) {
 	w.index = version
 	w.config += 1 + w.config%3
-	services := []any{}
-	for _, n := range append(append([]string{"portal", "board"}, indexVersions[0]...), indexVersions[1]...) {
-		services = append(services, map[string]any{"name": n, "max_connections": 60})
-	}
-	route := func(name, kind string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": callersHost, "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 1200, "target_latency_ms": 300, "attempts": 2,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	w.store.Put("op/config", map[string]any{
-		"version": w.config,
-		"routes": []any{
-			route("sweep", "idempotent", map[string]any{"gather": indexVersions[version], "result_limit": recordLimit, "oldest_version": leastCoverage}),
-			route("lookup", "idempotent", map[string]any{"service": lookup}),
-			route("book", "non_idempotent", map[string]any{"service": "portal"}),
-		},
-		"services": services,
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 10000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	w.store.Publish(imitator.Configuration{
+		Version: w.config, Host: callersHost, Shards: indexVersions[version], Least: leastCoverage, Limit: recordLimit, Lookup: lookup, Order: "portal",
+		Services: slices.Concat([]string{"portal", "board"}, indexVersions[0], indexVersions[1]),
 	})
 	w.history.published(time.Now(), lookup)
 }
