Let a single request's searcher work as long as its service usually takes; split the run of a query; tests of picking on routes

Cause: a searcher with an attempt unanswered for 30 ms counted as stalled, also where 60 to 160 ms are usual, so lookups went to idle searchers in other regions.

--- a/planner/pick.go
+++ b/planner/pick.go
@@ -64,7 +64,7 @@
 	return holds || !known
 }
 
-// responsive keeps the searchers that neither leave nor have left attempts unanswered for long.
+// responsive keeps the searchers that neither leave nor have left attempts unanswered for longer than the stall limit.
 func (p *Picker) responsive(now time.Time, fit []int32) []int32 {
 	if p.Stall == 0 {
 		return nil
@@ -85,7 +85,7 @@
 		return 0, false
 	}
 	if len(fit) > MaxCompared {
-		p.Shuffle(fit)
+		p.shuffle(fit)
 		fit = fit[:MaxCompared]
 	}
 	slots := p.View.Services[service].Contract.Slots
@@ -109,8 +109,8 @@
 	return link
 }
 
-// Shuffle puts the searchers in random order.
-func (p *Picker) Shuffle(list []int32) {
+// shuffle puts the searchers in random order.
+func (p *Picker) shuffle(list []int32) {
 	for i := len(list) - 1; i > 0; i-- {
 		j := p.Random(i + 1)
 		list[i], list[j] = list[j], list[i]
--- /dev/null
+++ b/planner/route_test.go
@@ -0,0 +1,105 @@
+package planner
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
+)
+
+// routed is a view from d-0 of one service with a searcher in each of three failure domains, 20 ms apart, and routes to it.
+func routed() *View {
+	c := modeler.Configuration{Services: []modeler.Service{{Name: "desk", Contract: modeler.Contract{Slots: 2, Connections: 26}}, {Name: "board"}}}
+	for i, d := range []modeler.FailureDomain{"d-0", "d-1", "d-2"} {
+		c.Registrations = append(c.Registrations, modeler.Registration{
+			Service: "desk", Slots: 2,
+			Searcher: modeler.Searcher{Name: modeler.SearcherName("s-" + string(d)), Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80), FailureDomain: d},
+		})
+	}
+	route := func(name, prefix string, split ...modeler.Weighted) modeler.Route {
+		return modeler.Route{Name: modeler.RouteName(name), Host: "h", Prefix: prefix, Split: split}
+	}
+	c.Routes = []modeler.Route{
+		route("all", "/", modeler.Weighted{Service: "desk", Weight: 1}),
+		route("long", "/a/b/", modeler.Weighted{Service: "desk", Weight: 3}, modeler.Weighted{Service: "board", Weight: 1}),
+		route("short", "/a/", modeler.Weighted{Service: "desk", Weight: 1}),
+	}
+	links := LinksFrom("d-0", map[modeler.FailureDomain]string{"d-0": "r-0", "d-1": "r-1", "d-2": "r-2"})
+	return NewView(1, "d-0", links, []modeler.Configuration{c}, observer.NewObserver())
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	v := routed()
+	for path, want := range map[string]modeler.RouteName{"/a/b/x": "long", "/a/x": "short", "/a/b": "short", "/x": "all", "/a": "all"} {
+		if r, ok := v.Match("h", path); !ok || r.Name != want {
+			t.Errorf("%s goes to %s", path, r.Name)
+		}
+	}
+	if _, ok := v.Match("other", "/a/x"); ok {
+		t.Error("another host has a route")
+	}
+}
+
+// The load: requests on a split of 3 to 1.
+func TestChooseKeepsTheWeights(t *testing.T) {
+	v := routed()
+	r, _ := v.Match("h", "/a/b/x")
+	const n = 1000
+	board := 0
+	for i := range n {
+		if r.Choose(float64(i) / n).Shards[0].Name == "board" {
+			board++
+		}
+	}
+	if board != n/4 {
+		t.Errorf("%d of %d requests go to a part of a quarter", board, n)
+	}
+}
+
+func TestPickOnARoute(t *testing.T) {
+	const stall = 30 * time.Millisecond
+	tests := []struct {
+		name    string
+		change  func(v *View)
+		allowed map[modeler.SearcherName]bool
+	}{
+		{"the near one", func(*View) {}, map[modeler.SearcherName]bool{"s-d-0": true}},
+		{"not one that leaves an attempt unanswered", func(v *View) { v.Searchers[0].Belief.Begin(epoch.Add(-stall - 1)) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
+		{"not one that leaves while others are there", func(v *View) { v.Searchers[0].Until = epoch.Add(time.Second) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
+		{"one that leaves if there is no other", func(v *View) {
+			v.Searchers[0].Until = epoch.Add(time.Second)
+			v.Searchers[1].Belief.Drain(epoch)
+			v.Searchers[2].Belief.Drain(epoch)
+		}, map[modeler.SearcherName]bool{"s-d-0": true}},
+		{"none once all have left", func(v *View) {
+			for i := range v.Searchers {
+				v.Searchers[i].Until = epoch
+			}
+		}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := routed()
+			tt.change(v)
+			r, _ := v.Match("h", "/x")
+			for i := range 40 {
+				p := Picker{View: v, Index: r.Index.Name, Snapshot: r.Choose(0), Random: func(n int) int { return i * 7919 % n }, Stall: stall}
+				n, ok := p.Pick(epoch, 0, nil)
+				if ok != (tt.allowed != nil) || (ok && !tt.allowed[v.Searchers[n].Name]) {
+					t.Fatalf("picked %d, %v", n, ok)
+				}
+			}
+		})
+	}
+}
+
+func TestPickPrefersAnOpenConnection(t *testing.T) {
+	v := routed()
+	r, _ := v.Match("h", "/x")
+	p := Picker{View: v, Index: r.Index.Name, Snapshot: r.Choose(0), Random: func(int) int { return 0 }, Stall: time.Second, Ready: func(n int32) bool { return n == 2 }}
+	if n, _ := p.Pick(epoch, 0, []int32{0}); n != 2 {
+		t.Errorf("picked %d though the connection to 2 is open", n)
+	}
+}
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -18,7 +18,7 @@
 	LearnPeriod         = 2 * time.Second
 	MinKillAfter        = 2 * time.Second
 	LeaveMargin         = 800 * time.Millisecond
-	ReplayedHold        = 2200 * time.Millisecond
+	LapseHold           = 2200 * time.Millisecond
 	DrainMargin         = 600 * time.Millisecond
 )
 
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -33,7 +33,7 @@
 	if v.cfg.Routing == nil {
 		return nil
 	}
-	hold := min(ReplayedHold, v.cfg.Routing.DrainWithin.Duration-DrainMargin)
+	hold := min(LapseHold, v.cfg.Routing.DrainWithin.Duration-DrainMargin)
 	return []configurer.Option{configurer.WithDecode(platform.Decode), configurer.WithHold(hold)}
 }
 
--- a/scatterer/constants.go
+++ b/scatterer/constants.go
@@ -10,6 +10,7 @@
 	RecheckAfter = 50 * time.Millisecond
 	Bystanders   = 3
 	StallLimit   = 30 * time.Millisecond
+	StallFactor  = 2.5
 	PartLinger   = 300 * time.Millisecond
 	SingleLinger = 20 * time.Millisecond
 	eventSlack   = 16
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -9,8 +9,18 @@
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/observer"
+	"github.com/pistachiogap/pistachiogap/planner"
 )
 
+// stallLimit returns for how long a searcher may leave attempts unanswered before others are preferred. One part of many must not wait; a request to a single searcher may take as long as its service usually does.
+func stallLimit(v *planner.View, s *planner.Snapshot) time.Duration {
+	if len(s.Shards) != 1 || s.Shards[0].Service < 0 {
+		return StallLimit
+	}
+	typical := v.Services[s.Shards[0].Service].Belief.Typical()
+	return max(StallLimit, time.Duration(StallFactor*typical))
+}
+
 // forwardPlan puts the policy of a route into the plan of a query.
 func (r *run) forwardPlan(plan *gatherer.Plan) {
 	f := r.req.Forward
@@ -28,7 +38,8 @@
 	}
 }
 
-func (r *run) earn(int32) {
+// earn counts a first attempt into the budgets of a search; those of a route count when it starts.
+func (r *run) earn() {
 	if r.req.Forward != nil {
 		return
 	}
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -69,7 +67,7 @@
 	plan := r.plan()
 	hold := s.hold
 	if req.Forward != nil {
-		r.picker.Stall = StallLimit
+		r.picker.Stall = stallLimit(req.View, req.Snapshot)
 		r.picker.Ready = func(n int32) bool { return s.Dialer.HasIdle(req.View.Searchers[n].Address) }
 		r.forwardPlan(&plan)
 		if len(plan.Shards) == 1 {
@@ -162,7 +160,7 @@
 	switch a.Kind {
 	case gatherer.ActionSend:
 		if a.Purpose == gatherer.Primary {
-			r.earn(a.Shard)
+			r.earn()
 		}
 		r.send(ctx, a)
 	case gatherer.ActionCancel:
@@ -264,107 +262,3 @@
 	}
 	return int32(n)
 }
-
-func (r *run) believe(ctx context.Context, a gatherer.Action, e *end, took time.Duration) {
-	searcher := &r.req.View.Searchers[a.Searcher]
-	b := searcher.Belief
-	now := r.s.now()
-	if e.reply.Held != nil {
-		b.Holds(r.req.Index.Name, e.reply.Held)
-	}
-	if e.reply.Draining && b.Drain(now) {
-		r.s.draining(searcher)
-	}
-	switch {
-	case e.wrong:
-		b.Failed(now, false)
-	case e.event.Kind == gatherer.EventAnswer:
-		b.Answered(now, took)
-		if r.req.Forward == nil || a.Purpose == gatherer.Primary {
-			r.req.View.Services[searcher.Service].Belief.Record(took)
-		}
-		if !e.reply.Draining {
-			b.Returned(now, now.Add(-took))
-		}
-	case ctx.Err() != nil && e.event.Fault == gatherer.FaultNotSent:
-		if !now.Before(r.req.Deadline) {
-			r.s.starved.Add(1)
-		}
-		b.Ended()
-	case ctx.Err() != nil:
-		b.Cancelled(now, took)
-	case e.event.Fault == gatherer.FaultShed && !e.reply.Late:
-		b.Shed(now)
-	case e.event.Fault == gatherer.FaultMisdirected:
-		b.Failed(now, true)
-	case blamed(e):
-		b.Failed(now, e.event.Fault == gatherer.FaultNotSent)
-	default:
-		b.Ended()
-	}
-}
-
-// blamed reports whether a fault is the searcher's own: it could not be reached, went away, or answered what is no answer.
-func blamed(e *end) bool {
-	switch e.event.Fault {
-	case gatherer.FaultLost, gatherer.FaultSilent, gatherer.FaultCorrupt, gatherer.FaultRejected:
-		return true
-	case gatherer.FaultNotSent:
-		return !e.reply.Late
-	}
-	return false
-}
-
-// check asks bystanders whether the losses are the request's own doing.
-func (r *run) check(ctx context.Context) {
-	lost := slices.Clone(r.query.Lost())
-	bystander := r.bystanders()
-	go func() {
-		judge := r.s.Judge
-		if r.req.Forward != nil {
-			judge = r.s.judgeForward
-		}
-		verdict := judge(ctx, r.req.View, lost, bystander)
-		select {
-		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: verdict}}:
-		case <-ctx.Done():
-		}
-	}()
-}
-
-// bystanders returns which searchers may be asked: those of the services of this run that it never reached. Searchers of other services may be reached by another relay's part of the same query.
-func (r *run) bystanders() func(int32) bool {
-	reached := maps.Clone(r.reached)
-	services := map[int32]bool{}
-	for _, h := range r.req.Snapshot.Shards {
-		services[h.Service] = true
-	}
-	return func(n int32) bool { return services[r.req.View.Searchers[n].Service] && !reached[n] }
-}
-
-// judgeLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
-func (r *run) judgeLate(ctx context.Context) {
-	lost := r.query.Lost()
-	if r.req.Forward != nil {
-		r.suspectForward(ctx, lost)
-		return
-	}
-	if r.crashed || r.query.Answered() > 0 || len(lost) < gatherer.PoisonLosses {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
-	defer cancel()
-	if r.s.Judge(ctx, r.req.View, lost, r.bystanders()) == gatherer.Poisonous {
-		r.quarantine()
-	}
-}
-
-func (r *run) quarantine() {
-	r.crashed = true
-	now := r.s.now()
-	until := now.Add(observer.QuarantinePeriod)
-	if r.s.Quarantine.Add(r.print, now, until) {
-		r.s.poisoned(r.print, until)
-	}
-	r.notes = append(r.notes, r.s.Recorder.Stamp(recorder.Event{Kind: recorder.RequestQuarantined, Request: r.req.ID}))
-}
--- /dev/null
+++ b/scatterer/suspect.go
@@ -0,0 +1,65 @@
+package scatterer
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/observer"
+	"github.com/pistachiogap/pistachiogap/recorder"
+)
+
+// check asks bystanders whether the losses are the request's own doing.
+func (r *run) check(ctx context.Context) {
+	lost := slices.Clone(r.query.Lost())
+	bystander := r.bystanders()
+	go func() {
+		judge := r.s.Judge
+		if r.req.Forward != nil {
+			judge = r.s.judgeForward
+		}
+		verdict := judge(ctx, r.req.View, lost, bystander)
+		select {
+		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: verdict}}:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// bystanders returns which searchers may be asked: those of the services of this run that it never reached. Searchers of other services may be reached by another relay's part of the same query.
+func (r *run) bystanders() func(int32) bool {
+	reached := maps.Clone(r.reached)
+	services := map[int32]bool{}
+	for _, h := range r.req.Snapshot.Shards {
+		services[h.Service] = true
+	}
+	return func(n int32) bool { return services[r.req.View.Searchers[n].Service] && !reached[n] }
+}
+
+// judgeLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
+func (r *run) judgeLate(ctx context.Context) {
+	lost := r.query.Lost()
+	if r.req.Forward != nil {
+		r.suspectForward(ctx, lost)
+		return
+	}
+	if r.crashed || r.query.Answered() > 0 || len(lost) < gatherer.PoisonLosses {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
+	defer cancel()
+	if r.s.Judge(ctx, r.req.View, lost, r.bystanders()) == gatherer.Poisonous {
+		r.quarantine()
+	}
+}
+
+func (r *run) quarantine() {
+	r.crashed = true
+	now := r.s.now()
+	until := now.Add(observer.QuarantinePeriod)
+	if r.s.Quarantine.Add(r.print, now, until) {
+		r.s.poisoned(r.print, until)
+	}
+	r.notes = append(r.notes, r.s.Recorder.Stamp(recorder.Event{Kind: recorder.RequestQuarantined, Request: r.req.ID}))
+}
