Keep the own interface's choice of replicas and beliefs; a check that times out is unclear

Change: without a stall limit two random replicas are compared, as before; one slow answer is believed at once unless searchers are known to pause, which is said for the platform only; timeouts are unclear.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -244,7 +245,8 @@
 	switch {
 	case err == nil, errors.As(err, &refused):
 		return Alive
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
+		// The socket's timer may fire before the context's.
 		return Unclear
 	}
 	return Dead
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -318,6 +319,16 @@
 	}
 }
 
+func TestCheckThatTimesOutIsUnclear(t *testing.T) {
+	d := newTestDialer(t, 1)
+	d.dial = func(context.Context, netip.AddrPort) (net.Conn, error) {
+		return nil, &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	}
+	if l := d.Check(t.Context(), netip.MustParseAddrPort("127.0.0.1:1"), time.Minute); l != Unclear {
+		t.Errorf("a connection that timed out before its context did is %d", l)
+	}
+}
+
 func TestSilenceOverSearchers(t *testing.T) {
 	var s silence
 	start := time.Unix(1_800_000_000, 0)
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -16,11 +16,22 @@
 	searchers  map[netip.AddrPort]*Searcher
 	services   map[modeler.ServiceName]*Service
 	generation atomic.Uint64
+	pauses     bool
 }
 
+// Option changes an Observer under construction.
+type Option func(*Observer)
+
+// WithPauses says that searchers pause now and then: one slow answer is then not believed, and a searcher of which little is known is taken to be as fast as its service.
+func WithPauses() Option { return func(o *Observer) { o.pauses = true } }
+
 // NewObserver makes an observer that knows nothing.
-func NewObserver() *Observer {
-	return &Observer{searchers: map[netip.AddrPort]*Searcher{}, services: map[modeler.ServiceName]*Service{}}
+func NewObserver(options ...Option) *Observer {
+	o := &Observer{searchers: map[netip.AddrPort]*Searcher{}, services: map[modeler.ServiceName]*Service{}}
+	for _, set := range options {
+		set(o)
+	}
+	return o
 }
 
 // Searcher returns what is believed of the searcher at the address.
@@ -44,11 +55,16 @@
 	defer o.mu.Unlock()
 	s := o.searchers[a]
 	if s == nil || (s.name != "" && s.name != name) || !s.born.Equal(born) {
-		s = &Searcher{latency: service.Typical(), news: &o.generation}
+		s = &Searcher{latency: float64(InitialLatency), news: &o.generation}
+		if o.pauses {
+			s.latency = service.Typical()
+		}
 		o.searchers[a] = s
 	}
 	s.name, s.born = name, born
-	s.belongTo(service)
+	if o.pauses {
+		s.belongTo(service)
+	}
 	return s
 }
 
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -211,21 +211,24 @@
 	return State{s.inflight, modeler.Duration{Duration: time.Duration(s.latency)}, now.Before(s.draining), now.Before(s.ejected), held}
 }
 
-// learn takes answers by their weight, and much slower ones at once when they come again: a single pause delays all attempts that were under way, but none that was sent after it.
+// learn takes answers by their weight, and much slower ones at once. Where searchers pause, a much slower one counts only when it comes again: a pause delays all attempts that were under way, but none that was sent after it.
 func (s *Searcher) learn(now time.Time, latency float64) {
 	defer func() { s.learned = now }()
-	peak := PeakFactor * s.expected(now)
+	peak := PeakFactor * s.latency
+	if s.service != nil {
+		peak = PeakFactor * s.expected(now)
+	}
 	if latency <= peak {
 		s.slow = 0
 		s.latency += LatencyWeight * (latency - s.latency)
 		return
 	}
-	if s.slow > 0 && now.Add(-time.Duration(latency)).Before(s.slowAt) {
+	if s.service != nil && s.slow > 0 && now.Add(-time.Duration(latency)).Before(s.slowAt) {
 		return
 	}
 	s.slow++
 	s.slowAt = now
-	if s.slow < SlowAnswers {
+	if s.service != nil && s.slow < SlowAnswers {
 		s.latency += LatencyWeight * (peak - s.latency)
 		return
 	}
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -79,14 +79,18 @@
 	return out
 }
 
-// cheaper returns the cheapest of the searchers; costs are spread a little, so that equal ones share the load.
+// cheaper returns the cheapest of the searchers; costs are spread a little, so that equal ones share the load. Without a stall limit only two random ones are compared, so that the shards of a query spread over failure domains.
 func (p *Picker) cheaper(now time.Time, fit []int32, service int32) (int32, bool) {
 	if len(fit) == 0 {
 		return 0, false
 	}
-	if len(fit) > MaxCompared {
+	most := MaxCompared
+	if p.Stall == 0 {
+		most = 2
+	}
+	if len(fit) > most {
 		p.shuffle(fit)
-		fit = fit[:MaxCompared]
+		fit = fit[:most]
 	}
 	slots := p.View.Services[service].Contract.Slots
 	best, least := fit[0], math.Inf(1)
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
 	"github.com/pistachiogap/pistachiogap/platform"
 	"github.com/pistachiogap/pistachiogap/scatterer"
@@ -29,6 +30,13 @@
 	return options
 }
 
+func (v *VM) observerOptions() []observer.Option {
+	if v.cfg.Routing == nil {
+		return nil
+	}
+	return []observer.Option{observer.WithPauses()}
+}
+
 func (v *VM) storeOptions() []configurer.Option {
 	if v.cfg.Routing == nil {
 		return nil
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -169,7 +169,7 @@
 	clock := recorder.NewClock(time.Now)
 	v.recorder = recorder.NewRecorder(v.cfg.Name, clock,
 		recorder.WithCapacity(v.cfg.Timeline.Events), recorder.WithSample(v.cfg.Timeline.Sample))
-	v.observer = observer.NewObserver()
+	v.observer = observer.NewObserver(v.observerOptions()...)
 	v.quarantine = observer.NewQuarantine()
 	v.admitter = limiter.NewAdmitter()
 	v.dialer = dialer.NewDialer(local, v.dialerOptions()...)
