--- a/runner/operators.go
+++ b/runner/operators.go
@@ -13,7 +13,7 @@
 )
 
 // Version is the version of the program.
-const Version = "0.1.0"
+const Version = "0.2.0"
 
 const histogramSamples = 1028
 
