Start without waiting for seeds; connections of two lives fit a searcher's limit

Cause: recovery after a loss of power had become a second slower on all sites: a VM compared members with three seeds before it served, and seeds without power answer nothing; besides, searchers still count the connections from before, and 85 % of their limit was handed out.

--- a/limiter/share.go
+++ b/limiter/share.go
@@ -13,16 +13,17 @@
 	nearPart   = 0.6
 )
 
-// ShareOf divides the connections of a searcher over the fleet: VMs of its own region get twice as many as others. Where they do not go round, near VMs come first and the far ones whose rank fits the rest; any other opens one for as long as it is in use.
+// ShareOf divides the connections of a searcher over the fleet: VMs of its own region get twice as many as others, and all together half, for after a loss of power the searcher still counts those from before. Where they do not go round, near VMs come first and the far ones whose rank fits the rest; any other opens one for as long as it is in use.
 func ShareOf(connections, near, far int, isNear bool, rank int) Share {
-	total := float64(connections) * ShareHeadroom
 	near, far = max(near, 0), max(far, 0)
+	total := float64(connections) * RestartHeadroom
 	if unit := total / max(1, nearWeight*float64(near)+float64(far)); unit >= 1 {
 		if isNear {
 			return Share{max(1, (int(total)-far*int(unit))/max(1, near)), true}
 		}
 		return Share{int(unit), true}
 	}
+	total = float64(connections) * ShareHeadroom
 	each := max(1, int(total*nearPart/float64(max(1, near))))
 	if isNear {
 		return Share{each, true}
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -71,16 +71,13 @@
 // leastFleet is how many VMs are assumed while the members are not yet known.
 func (v *VM) leastFleet() int { return max(MinFleet, len(v.cfg.Peers)) }
 
-// joinRouting asks the store and a few peers for the configuration before the VM serves.
+// joinRouting asks the store, or else a few peers, for the configuration before the VM serves; the members are learned while it serves.
 func (v *VM) joinRouting(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, JoinTimeout)
 	defer cancel()
-	err := v.follower.Step(ctx)
-	if err != nil {
+	if err := v.follower.Step(ctx); err != nil {
 		klog.ErrorS(err, "store: cannot be read at the start")
-	}
-	for _, a := range v.syncSome(ctx, JoinPeers) {
-		if err != nil {
+		for _, a := range v.syncSome(ctx, JoinPeers) {
 			v.pullFrom(ctx, a)
 		}
 	}
