A VM that drains takes further signals without being cut short

After the first SIGTERM the program gave up its handlers, so that a second SIGTERM ended it at once; and a SIGHUP did the same, since the reader of the settings gave its handler up when the drain began. Ruled out: memory (14.5 MB at the peak), a panic (nothing on standard error), the grace time (0.4 s after the SIGTERM). Test: TestDrainSurvivesFurtherSignals runs the program and sends three more SIGTERM or SIGHUP while it drains; both cases failed first. Conclusion: SIGTERM and SIGHUP stay caught until the process ends; a second interrupt from a terminal still ends it at once.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -38,8 +38,8 @@
 func Main(args []string, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	// A second signal ends the program at once.
-	context.AfterFunc(ctx, stop)
+	// A second interrupt ends the program at once; a second SIGTERM finds it draining and changes nothing.
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	configureLogs(errOut)
 	defer klog.StopFlushDaemon()
 	defer klog.Flush()
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -36,6 +36,9 @@
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
+	// Taken until the process ends: an untaken SIGHUP ends it at once, also while it drains.
+	hangUps := make(chan os.Signal, 1)
+	signal.Notify(hangUps, syscall.SIGHUP)
 	file := c.String("settings")
 	cfg, err := readSettings(file)
 	if err != nil {
@@ -55,7 +58,7 @@
 		return usage(errors.Wrap(err, file))
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	reloaded := spawner.Go(ctx, func(ctx context.Context) error { return reload(ctx, file, vm) })
+	reloaded := spawner.Go(ctx, func(ctx context.Context) error { return reload(ctx, hangUps, file, vm) })
 	err = vm.Run(ctx)
 	cancel()
 	return firstError(err, spawner.Wait(reloaded))
@@ -69,16 +72,13 @@
 }
 
 // reload reads the settings again at a SIGHUP or when the file has changed; faulty ones leave those in force.
-func reload(ctx context.Context, file string, vm *runner.VM) error {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func reload(ctx context.Context, hangUps <-chan os.Signal, file string, vm *runner.VM) error {
 	ticker := time.NewTicker(settingsPeriod)
 	defer ticker.Stop()
 	last := modified(file)
 	for {
 		select {
-		case <-hup:
+		case <-hangUps:
 		case <-ticker.C:
 			if modified(file).Equal(last) {
 				continue
--- /dev/null
+++ b/commander/signals_test.go
@@ -0,0 +1,94 @@
+package commander
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// programVariable makes the test binary run as the program.
+const programVariable = "RUN_AS_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(programVariable) != "" {
+		os.Exit(Main(os.Args, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// writeSettings writes settings of a VM on free ports.
+func writeSettings(t *testing.T) string {
+	t.Helper()
+	var ports []any
+	for range 4 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort().Port())
+	}
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	text := fmt.Sprintf(`{
+		"name": "entry-1", "failure-domain": "north", "keys": ["a-key-of-sixteen-or-more"], "drain-delay": "300ms",
+		"listen": {"callers": "127.0.0.1:%d", "operators": "127.0.0.1:%d", "peers": "127.0.0.1:%d"},
+		"platform": "127.0.0.1:%d"
+	}`, ports...)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// A VM that drains takes further signals of the platform without being cut short.
+func TestDrainSurvivesFurtherSignals(t *testing.T) {
+	for _, second := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		t.Run(second.String(), func(t *testing.T) {
+			t.Parallel()
+			c := exec.CommandContext(t.Context(), os.Args[0], "serve", "--settings", writeSettings(t))
+			c.Env = append(os.Environ(), programVariable+"=1")
+			out, err := c.StdoutPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c.Stderr = os.Stderr
+			if err := c.Start(); err != nil {
+				t.Fatal(err)
+			}
+			r := bufio.NewReader(out)
+			awaitLine(t, r, "serves callers on")
+			_ = c.Process.Signal(syscall.SIGTERM)
+			awaitLine(t, r, "drains")
+			for range 3 {
+				_ = c.Process.Signal(second)
+				time.Sleep(20 * time.Millisecond)
+			}
+			awaitLine(t, r, "stopped")
+			_, _ = io.Copy(io.Discard, r)
+			if err := c.Wait(); err != nil {
+				t.Errorf("the program ended with: %v", err)
+			}
+		})
+	}
+}
+
+func awaitLine(t *testing.T, r *bufio.Reader, part string) {
+	t.Helper()
+	for {
+		line, err := r.ReadString('\n')
+		if err != nil {
+			t.Fatalf("the program ended before it wrote %q: %v", part, err)
+		}
+		if strings.Contains(line, part) {
+			return
+		}
+	}
+}
