Connections closed from this side keep their place until the searcher had time to notice

A VM that gave up calls closed their connections and opened new ones at once; a searcher that is busy notices the end late and counts both. Abandoned dials did the same. Ruled out: a wrong budget (2 x 13), idle connections that the searcher closes (not counted by it any more). Conclusion: closed connections count for 100 ms, but for one in sixteen of the budget and one, which the headroom covers.

--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -9,8 +9,10 @@
 	IdleLimit       = 30 * time.Second
 	ProveAfter      = 500 * time.Millisecond
 	ShrinkPeriod    = 5 * time.Second
+	CloseNotice     = 100 * time.Millisecond
 	SilenceWindow   = 500 * time.Millisecond
 	SilentSearchers = 2
+	closingSpare    = 16
 	writeBufferSize = 2 << 10
 	readBufferSize  = 8 << 10
 	userAgent       = "pistachiogap"
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -128,7 +128,7 @@
 	}
 	r := d.wire.Read(res, &call)
 	if r.Fault == gatherer.FaultCrossed || c.leftOver() {
-		p.retire(c, time.Time{})
+		p.retire(c, false, time.Time{})
 	} else {
 		d.give(p, c, res)
 	}
@@ -141,7 +141,7 @@
 // give returns a connection to its pool, unless the searcher closes it.
 func (d *Dialer) give(p *pool, c *conn, res *fasthttp.Response) {
 	if res.ConnectionClose() {
-		p.retire(c, time.Time{})
+		p.retire(c, true, time.Time{})
 		return
 	}
 	p.put(c, d.now())
@@ -159,18 +159,18 @@
 
 func (d *Dialer) failed(ctx context.Context, p *pool, c *conn, sent time.Time, silent bool) gatherer.Fault {
 	if !silent {
-		p.retire(c, time.Time{})
+		p.retire(c, false, time.Time{})
 		return gatherer.FaultCorrupt
 	}
 	if ctx.Err() == nil {
-		p.retire(c, time.Time{})
+		p.retire(c, true, time.Time{})
 		return gatherer.FaultLost
 	}
 	since := time.Time{}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		since = c.lastRead.Add(1)
 	}
-	p.retire(c, since)
+	p.retire(c, false, since)
 	if p.answeredSince(sent) {
 		d.silence.found(p.addr, sent, d.now())
 	}
@@ -325,7 +325,7 @@
 	defer d.mu.Unlock()
 	p := d.pools[a]
 	if p == nil {
-		p = &pool{addr: a, dial: d.dial, limit: d.budget(a)}
+		p = &pool{addr: a, dial: d.dial, now: d.now, limit: d.budget(a)}
 		d.pools[a] = p
 	}
 	return p
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -237,7 +237,7 @@
 
 func TestPoolShrinks(t *testing.T) {
 	u := startUpstream(t, answers)
-	p := &pool{addr: u.addr, limit: 2, dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return net.Dial("tcp", u.addr.String()) }}
+	p := &pool{addr: u.addr, limit: 2, now: time.Now, dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return net.Dial("tcp", u.addr.String()) }}
 	now := time.Now()
 	var held []*conn
 	for range 2 {
@@ -257,13 +257,13 @@
 		time.Sleep(time.Millisecond)
 	}
 	p.trim(now, 1)
-	p.retire(held[0], time.Time{})
+	p.retire(held[0], true, time.Time{})
 	if open, waiting := p.size(); open != 1 || waiting != 1 {
 		t.Errorf("after the budget fell to 1: %d open, %d in line", open, waiting)
 	}
 	cancel()
 	<-end
-	p.retire(held[1], time.Time{})
+	p.retire(held[1], true, time.Time{})
 }
 
 func TestDoReadsRefusals(t *testing.T) {
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -12,9 +12,11 @@
 type pool struct {
 	addr     netip.AddrPort
 	dial     func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	now      func() time.Time
 	mu       sync.Mutex
 	idle     []*conn
 	open     int
+	closing  closing
 	limit    int
 	shrunk   time.Time
 	waiters  []chan grant
@@ -45,13 +47,14 @@
 		p.mu.Unlock()
 		return c, nil
 	}
-	if p.open < p.budget(now) {
+	if p.hasRoom(now) {
 		p.open++
 		p.mu.Unlock()
 		return p.connect(ctx)
 	}
 	w := make(chan grant, 1)
 	p.waiters = append(p.waiters, w)
+	p.admit(now)
 	p.mu.Unlock()
 	select {
 	case g := <-w:
@@ -75,11 +78,11 @@
 		c := p.idle[len(p.idle)-1]
 		p.idle = p.idle[:len(p.idle)-1]
 		unproven := t == provenIdle && now.Sub(c.lastRead) > ProveAfter
-		if !unproven && !c.lastRead.Before(p.suspect) && !c.stale() {
+		stale := c.stale()
+		if !unproven && !c.lastRead.Before(p.suspect) && !stale {
 			return c
 		}
-		p.open--
-		_ = c.Close()
+		p.hangUp(c, now, stale)
 	}
 	return nil
 }
@@ -89,9 +92,7 @@
 	if len(p.idle) == 0 || p.open < p.budget(now) {
 		return
 	}
-	_ = p.idle[0].Close()
-	p.idle = p.idle[1:]
-	p.open--
+	p.closeOldest(now)
 }
 
 func (p *pool) budget(now time.Time) int {
@@ -106,7 +107,7 @@
 	defer cancel()
 	c, err := p.dial(ctx, p.addr)
 	if err != nil {
-		p.drop()
+		p.drop(ctx.Err() == nil)
 		return nil, err
 	}
 	return newConn(c), nil
@@ -122,8 +123,7 @@
 		p.answered = now
 	}
 	if p.closed || p.open > p.budget(now) {
-		p.open--
-		_ = c.Close()
+		p.hangUp(c, now, false)
 		return
 	}
 	if w := p.firstWaiter(); w != nil {
@@ -133,28 +133,28 @@
 	p.idle = append(p.idle, c)
 }
 
-// retire closes a connection; after a silent one, no idle connection is trusted that was not read from since.
-func (p *pool) retire(c *conn, silentSince time.Time) {
-	_ = c.Close()
+// retire closes a connection in use, which the searcher may have ended before; after a silent one, no idle connection is trusted that was not read from since.
+func (p *pool) retire(c *conn, ended bool, silentSince time.Time) {
+	now := p.now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if silentSince.After(p.suspect) {
 		p.suspect = silentSince
 	}
-	p.mu.Unlock()
-	p.drop()
+	p.hangUp(c, now, ended)
+	p.admit(now)
 }
 
-// drop gives the place of a closed connection to the first waiter, unless the budget has shrunk below it.
-func (p *pool) drop() {
+// drop gives back the place of a connection that was not opened; one given up meanwhile may have reached the searcher.
+func (p *pool) drop(refused bool) {
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open <= p.limit && !p.closed {
-		if w := p.firstWaiter(); w != nil {
-			w <- grant{}
-			return
-		}
-	}
 	p.open--
+	if !refused {
+		p.closing.since = append(p.closing.since, now)
+	}
+	p.admit(now)
 }
 
 func (p *pool) refused(now time.Time) {
@@ -185,7 +185,7 @@
 	p.mu.Unlock()
 	g := <-w
 	if g.conn == nil {
-		p.drop()
+		p.drop(true)
 		return
 	}
 	p.put(g.conn, g.conn.lastRead)
@@ -202,11 +202,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 && p.idle[len(p.idle)-1].stale() {
-		_ = p.idle[len(p.idle)-1].Close()
+		p.hangUp(p.idle[len(p.idle)-1], now, true)
 		p.idle = p.idle[:len(p.idle)-1]
-		p.open--
 	}
-	return len(p.idle) == 0 && p.open < p.budget(now)
+	return len(p.idle) == 0 && p.hasRoom(now)
 }
 
 func (p *pool) hasIdle() bool {
@@ -220,9 +219,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.idle) > 0 && now.Sub(p.idle[0].lastRead) > limit {
-		_ = p.idle[0].Close()
-		p.idle = p.idle[1:]
-		p.open--
+		p.closeOldest(now)
 	}
 }
 
@@ -232,9 +229,7 @@
 	defer p.mu.Unlock()
 	p.limit = limit
 	for len(p.idle) > 0 && (p.open > limit || now.Sub(p.idle[0].lastRead) > IdleLimit) {
-		_ = p.idle[0].Close()
-		p.idle = p.idle[1:]
-		p.open--
+		p.closeOldest(now)
 	}
 	return p.open > 0
 }
