A first hedge on a route may use any open connection

Hedges took only connections read from in the last 500 ms; connections to far searchers, to which hedges go, are used seldom, so each hedge closed a warm one and opened another: two round trips and 6 ms more, past the objective. Test: TestWhichAttemptsNeedAProvenConnection, failed first. Should the open connection be silent, the attempt after the hedge opens a new one, as before.

--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -65,7 +65,16 @@
 	if len(r.req.Snapshot.Shards) > 1 {
 		call.Linger = PartLinger
 	}
-	call.Proven = r.req.Forward.AtMostOnce || a.Purpose != gatherer.Primary
+	call.Proven = r.req.Forward.AtMostOnce || needsProof(a.Purpose)
+}
+
+// needsProof reports whether an attempt may only use a connection that was read from lately. A first hedge may use any: connections to far searchers are seldom used, a new one takes longer than the objective allows, and should it be silent too, the attempt after it opens a new one.
+func needsProof(p gatherer.Purpose) bool {
+	switch p {
+	case gatherer.Primary, gatherer.Hedge, gatherer.LateHedge:
+		return false
+	}
+	return true
 }
 
 // accept takes an answer that the wire has already found to belong to the attempt.
--- a/scatterer/forward_test.go
+++ b/scatterer/forward_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
@@ -44,3 +46,32 @@
 		t.Errorf("nothing merges to %q", got)
 	}
 }
+
+func TestWhichAttemptsNeedAProvenConnection(t *testing.T) {
+	tests := []struct {
+		purpose    gatherer.Purpose
+		atMostOnce bool
+		proven     bool
+		fresh      bool
+	}{
+		{gatherer.Primary, false, false, false},
+		{gatherer.Primary, true, true, false},
+		{gatherer.Hedge, false, false, false},
+		{gatherer.LateHedge, false, false, false},
+		{gatherer.Retry, false, true, false},
+		{gatherer.Retry, true, true, false},
+		{gatherer.Probe, false, true, true},
+	}
+	for _, tt := range tests {
+		a := gatherer.Action{Purpose: tt.purpose}
+		r := &run{req: Request{
+			View: &planner.View{Searchers: make([]planner.Searcher, 1)}, Snapshot: &planner.Snapshot{Shards: make([]planner.Shard, 2)},
+			Forward: &Forward{AtMostOnce: tt.atMostOnce},
+		}}
+		call := dialer.Call{Fresh: a.Purpose == gatherer.Probe}
+		r.forwardCall(&call, a)
+		if call.Proven != tt.proven || call.Fresh != tt.fresh {
+			t.Errorf("%s, at most once %t: proven %t, fresh %t", tt.purpose, tt.atMostOnce, call.Proven, call.Fresh)
+		}
+	}
+}
