Each VM keeps a connection to one far searcher of each service

Cause: on fleets larger than a searcher's connections only 11 of 39 far VMs kept one to it, by a rank of its own at each searcher: half of the VMs had none to either far searcher of a shard, and their hedges opened one first. Mechanism: a VM chooses one far searcher of each service by rendezvous hash; settled far VMs share what two lives of the near leave. For its first 12 s, while searchers may still count the connections of its former life, a VM keeps none to far ones. Changed members are taken in once a second instead of at each change. Test: TestSharesOfTwoLivesFitThePublishedConnections now plays a settled life and the one after a loss of power; TestNearVMsComeFirst has the cases of a far VM.

--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -6,6 +6,7 @@
 const (
 	MinBurst           = 40
 	ConnectionHeadroom = 0.9
+	ShareHeadroom      = 0.95
 	RestartHeadroom    = 0.5
 	RatioShare         = 0.92
 	MinConcurrency     = 2
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -7,25 +7,39 @@
 	Holder bool
 }
 
+// Contender is a VM that may hold connections to a searcher.
+type Contender struct {
+	// Near says that the VM is in the searcher's region.
+	Near bool
+	// Rank counts the VMs that come before this one: near ones, or far ones that chose the same searcher.
+	Rank int
+	// Chose says that the VM is near, or chose this searcher among the far ones of its service.
+	Chose bool
+	// Settled says that the VM has run for so long that searchers have closed the connections of a former life.
+	Settled bool
+}
+
 // nearWeight is how many connections a near VM may hold for each one of a far VM.
 const nearWeight = 2.0
 
-// nearPart is the near VMs' part of the connections where they do not go round.
+// nearPart is the near VMs' part of half of the connections where they do not go round.
 const nearPart = 0.6
 
-// ShareOf divides half of the connections of a searcher over the fleet, for after a loss of power the searcher still counts those from before: VMs of its own region get twice as many as others. Where they do not go round, near VMs come first, then far ones, both by rank within their kind; any other opens one for as long as it is in use.
-func ShareOf(connections, near, far int, isNear bool, rank int) Share {
+// ShareOf divides the connections of a searcher over the fleet so that two lives of it fit, for after a loss of power the searcher still counts those from before. VMs of its own region get twice as many as others. Where they do not go round, near VMs come first; settled far ones share what two lives of the near leave. Any other opens one for as long as it is in use.
+func ShareOf(connections, near, far int, c Contender) Share {
 	near, far = max(near, 0), max(far, 0)
 	total := float64(connections) * RestartHeadroom
 	if unit := total / max(1, nearWeight*float64(near)+float64(far)); unit >= 1 {
-		if isNear {
+		if c.Near {
 			return Share{max(1, (int(total)-far*int(unit))/max(1, near)), true}
 		}
 		return Share{int(unit), true}
 	}
 	each := max(1, int(total*nearPart/float64(max(1, near))))
-	if isNear {
-		return Share{each, rank < int(total)/each}
+	holders := min(near, int(total)/each)
+	if c.Near {
+		return Share{each, c.Rank < holders}
 	}
-	return Share{1, rank < int(total)-near*each}
+	left := int(float64(connections)*ShareHeadroom) - 2*holders*each
+	return Share{1, c.Chose && c.Settled && c.Rank < left}
 }
--- a/limiter/share_test.go
+++ b/limiter/share_test.go
@@ -12,31 +12,46 @@
 		connections := rapid.IntRange(20, 500).Draw(t, "connections")
 		near := rapid.IntRange(0, 1100).Draw(t, "near VMs")
 		far := rapid.IntRange(0, 2200).Draw(t, "far VMs")
-		held := 0
-		for rank := range near {
-			if s := ShareOf(connections, near, far, true, rank); s.Holder {
-				held += s.Limit
+		life := func(settled bool) int {
+			held := 0
+			for rank := range near {
+				if s := ShareOf(connections, near, far, Contender{Near: true, Chose: true, Rank: rank, Settled: settled}); s.Holder {
+					held += s.Limit
+				}
 			}
-		}
-		for rank := range far {
-			if s := ShareOf(connections, near, far, false, rank); s.Holder {
-				held += s.Limit
+			for rank := range far {
+				if s := ShareOf(connections, near, far, Contender{Chose: true, Rank: rank, Settled: settled}); s.Holder {
+					held += s.Limit
+				}
 			}
+			return held
 		}
-		if 2*held > connections {
-			t.Fatalf("%d connections held in each life, %d published", held, connections)
+		if before, after := life(true), life(false); before+after > connections {
+			t.Fatalf("%d connections held before and %d after the loss of power, %d published", before, after, connections)
 		}
 	})
 }
 
 func TestNearVMsComeFirst(t *testing.T) {
-	if s := ShareOf(26, 3, 5, true, 0); s.Limit != 2 || !s.Holder {
+	if s := ShareOf(26, 3, 5, Contender{Near: true}); s.Limit != 2 || !s.Holder {
 		t.Errorf("one of 3 near VMs of 8: %+v", s)
 	}
-	if s := ShareOf(26, 3, 5, false, 0); s.Limit != 1 || !s.Holder {
+	if s := ShareOf(26, 3, 5, Contender{}); s.Limit != 1 || !s.Holder {
 		t.Errorf("one of 5 far VMs of 8: %+v", s)
 	}
-	if s := ShareOf(62, 20, 39, false, 38); s.Holder {
-		t.Errorf("the last of 39 far VMs holds connections: %+v", s)
+	tests := []struct {
+		name   string
+		vm     Contender
+		holder bool
+	}{
+		{"the last of 39 far VMs", Contender{Rank: 38, Chose: true, Settled: true}, false},
+		{"a settled far VM for which two lives of the near leave room", Contender{Rank: 15, Chose: true, Settled: true}, true},
+		{"a far VM that has just started", Contender{Rank: 0, Chose: true}, false},
+		{"a far VM that chose another searcher", Contender{Rank: 0, Settled: true}, false},
+	}
+	for _, tt := range tests {
+		if s := ShareOf(62, 20, 39, tt.vm); s.Holder != tt.holder {
+			t.Errorf("%s: %+v", tt.name, s)
+		}
 	}
 }
--- a/planner/registration.go
+++ b/planner/registration.go
@@ -38,10 +38,11 @@
 // applyRegistrations puts into the view what searchers say of themselves beside their address.
 func (v *View) applyRegistrations(registered []modeler.Registration) {
 	for _, r := range registered {
-		s, ok := v.At(r.Searcher.Address)
-		if !ok || s.Name != r.Searcher.Name {
+		n, ok := v.At(r.Searcher.Address)
+		if !ok || v.Searchers[n].Name != r.Searcher.Name {
 			continue
 		}
+		s := &v.Searchers[n]
 		s.Until = r.Until
 		if r.Cold > 0 {
 			s.Belief.Warming(r.Seen.Add(r.Cold))
--- a/planner/rendezvous.go
+++ b/planner/rendezvous.go
@@ -31,3 +31,17 @@
 	}
 	return out
 }
+
+// ChoiceOf returns which of a service's fitting searchers a VM chooses by rendezvous hash, or -1: the VMs spread over them, and few choose anew when one comes or goes.
+func (v *View) ChoiceOf(vm modeler.VMName, service int32, fits func(*Searcher) bool) int32 {
+	best, least := int32(-1), scored{}
+	for _, n := range v.Services[service].Searchers {
+		if !fits(&v.Searchers[n]) {
+			continue
+		}
+		if x := score(string(v.Searchers[n].Name), vm); best < 0 || x.score < least.score {
+			best, least = n, x
+		}
+	}
+	return best
+}
--- a/planner/view.go
+++ b/planner/view.go
@@ -124,13 +124,10 @@
 	return i, ok
 }
 
-// At returns the searcher at an address.
-func (v *View) At(a netip.AddrPort) (*Searcher, bool) {
-	i, ok := v.addresses[a]
-	if !ok {
-		return nil, false
-	}
-	return &v.Searchers[i], true
+// At returns the position of the searcher at an address.
+func (v *View) At(a netip.AddrPort) (int32, bool) {
+	n, ok := v.addresses[a]
+	return n, ok
 }
 
 func (v *View) addService(s modeler.Service, domains map[modeler.FailureDomain]int32, delays map[modeler.FailureDomain]time.Duration, o *observer.Observer) {
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -16,6 +16,7 @@
 	MinFleet            = 8
 	UnknownFleet        = 100
 	LearnPeriod         = 2 * time.Second
+	SettlePeriod        = 12 * time.Second
 	MinKillAfter        = 2 * time.Second
 	LeaveMargin         = 800 * time.Millisecond
 	LapseHold           = 2200 * time.Millisecond
--- a/runner/neighbours.go
+++ b/runner/neighbours.go
@@ -42,7 +42,7 @@
 		}
 	}
 	v.crowd.Store(c)
-	v.shares.forget()
+	v.shares.outdate()
 	v.spread.SetMembers(c.relays)
 }
 
@@ -176,5 +176,7 @@
 		v.relays.Forget(m.Address)
 	}
 	v.refreshCrowd()
-	v.dialer.Rebudget()
+	if v.cfg.Routing == nil {
+		v.dialer.Rebudget()
+	}
 }
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -87,14 +87,11 @@
 func (v *VM) routeUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
 	defer ticker.Stop()
-	learning := true
+	stage := starting
 	for {
 		select {
 		case <-ticker.C:
-			if learning && time.Since(v.started) >= LearnPeriod {
-				learning = false
-				v.shares.forget()
-			}
+			v.renewShares(&stage)
 			v.trim()
 			v.warm(ctx)
 		case <-ctx.Done():
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -110,17 +110,17 @@
 	if view == nil {
 		return 1
 	}
-	s, ok := view.At(a)
+	n, ok := view.At(a)
 	if !ok {
 		return 0
 	}
-	service := &view.Services[s.Service]
+	service := &view.Services[view.Searchers[n].Service]
 	holders := v.spread.Holders(service.Bucket, v.fleet())
 	if holders == 0 {
 		return 0
 	}
 	if v.cfg.Routing != nil {
-		return v.share(s, service.Contract.Connections).Limit
+		return v.share(view, n).Limit
 	}
 	return limiter.Connections(service.Contract.Connections, holders)
 }
