Header limits of callers on routes are those of the configuration

Cause: the server's own limits held on routes too: 16 KiB of headers, 2 s to send them. A configuration that allows more, or the 3 s that today's allow, was not kept: proper requests were refused with 431 or cut. Test: TestSlowHeadersWithinTheLimitAreServed (2.5 s of 3 s allowed) ended in an EOF before; TestHeaderLimitsAreTheConfigured has 12,000 and 17,000 bytes where 16,384 are allowed, and 60,000 after a configuration that allows 65,536. Conclusion: the server's own bounds on routes (256 KiB, 10 s) hold while no configuration is known; the time for headers stays at 10 s, the configured one is not enforced below that.

--- a/runner/routing.go
+++ b/runner/routing.go
@@ -160,7 +160,7 @@
 			return scatterer.MergeRecords(parts, platform.RecordBytes, limit)
 		},
 	}
-	s := server.NewHTTPServer(forwards)
+	s := server.NewRouteServer(forwards)
 	s.ConnState = v.idle.Changed
 	return server.Serve(ctx, s, v.callers, v.cfg.Grace.Duration)
 }
--- a/server/constants.go
+++ b/server/constants.go
@@ -13,6 +13,10 @@
 	MaxLimit       = 1000
 	LostServices   = 8
 
+	// Routes have limits of their own; these hold while none are known.
+	RouteHeaderBytes   = 256 << 10
+	RouteHeaderTimeout = 10 * time.Second
+
 	TimeoutMargin   = 20 * time.Millisecond
 	ReturnMargin    = 10 * time.Millisecond
 	ObjectiveMargin = 22 * time.Millisecond
--- a/server/forward.go
+++ b/server/forward.go
@@ -102,6 +102,9 @@
 	if f.view = s.View(); f.view == nil || !f.view.HasRoutes() {
 		return refuser.New(refuser.Unconfigured, "no configuration is in force yet")
 	}
+	if err = checkHeaders(w, r, f.view.Limits); err != nil {
+		return err
+	}
 	if f.body, err = s.readBody(w, r, f.view.Limits); err != nil {
 		return err
 	}
@@ -141,6 +144,27 @@
 	return path
 }
 
+// checkHeaders refuses a request whose line and headers are larger than the limit.
+func checkHeaders(w http.ResponseWriter, r *http.Request, limits *modeler.Limits) error {
+	if limits == nil || limits.HeaderBytes <= 0 {
+		return nil
+	}
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + headerLineBytes
+		}
+	}
+	if n <= limits.HeaderBytes {
+		return nil
+	}
+	w.Header().Set("Connection", "close")
+	return refuser.New(refuser.HeaderTooLarge, "headers have %d bytes, at most %d are allowed", n, limits.HeaderBytes)
+}
+
+// headerLineBytes is what a header line has beside its name and value: a colon, a space and the line's end.
+const headerLineBytes = 4
+
 func (s *Forwards) readBody(w http.ResponseWriter, r *http.Request, limits *modeler.Limits) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
--- a/server/serve.go
+++ b/server/serve.go
@@ -17,6 +17,14 @@
 	}
 }
 
+// NewRouteServer returns a server for callers of routes; the limits of the configuration are narrower than its own.
+func NewRouteServer(h http.Handler) *http.Server {
+	s := NewHTTPServer(h)
+	s.MaxHeaderBytes = RouteHeaderBytes
+	s.ReadHeaderTimeout = RouteHeaderTimeout
+	return s
+}
+
 // NewPeerServer returns a server that also speaks HTTP/2 without TLS, for calls between VMs.
 func NewPeerServer(h http.Handler) *http.Server {
 	s := NewHTTPServer(h)
