--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -12,7 +12,7 @@
 	CloseNotice     = 100 * time.Millisecond
 	SilenceWindow   = 500 * time.Millisecond
 	SilentSearchers = 2
-	closingSpare    = 16
+	closingSpare    = 16 // one closed connection in so many of the budget is left to its headroom
 	writeBufferSize = 2 << 10
 	readBufferSize  = 8 << 10
 	userAgent       = "pistachiogap"
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -15,7 +15,7 @@
 	Rank int
 	// Chose says that the VM is near, or chose this searcher among the far ones of its service.
 	Chose bool
-	// Settled says that the VM has run for so long that searchers have closed the connections of a former life.
+	// Settled says that the VM has run for so long that searchers have closed the connections of an earlier incarnation.
 	Settled bool
 }
 
@@ -25,7 +25,7 @@
 // nearPart is the near VMs' part of half of the connections where they do not go round.
 const nearPart = 0.6
 
-// ShareOf divides the connections of a searcher over the fleet so that two lives of it fit, for after a loss of power the searcher still counts those from before. VMs of its own region get twice as many as others. Where they do not go round, near VMs come first; settled far ones share what two lives of the near leave. Any other opens one for as long as it is in use.
+// ShareOf divides the connections of a searcher over the fleet so that those of two incarnations of it fit, for after a loss of power the searcher still counts those from before. VMs of its own region get twice as many as others. Where they do not go round, near VMs come first; settled far ones share what two incarnations of the near leave. Any other opens one for as long as it is in use.
 func ShareOf(connections, near, far int, c Contender) Share {
 	near, far = max(near, 0), max(far, 0)
 	total := float64(connections) * RestartHeadroom
--- a/limiter/share_test.go
+++ b/limiter/share_test.go
@@ -7,26 +7,26 @@
 )
 
 // The load: every VM of a fleet keeps as many connections to one searcher open as it may, all lose power and start again, and the searcher still counts those from before.
-func TestSharesOfTwoLivesFitThePublishedConnections(t *testing.T) {
+func TestSharesOfTwoIncarnationsFitThePublishedConnections(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		connections := rapid.IntRange(20, 500).Draw(t, "connections")
 		near := rapid.IntRange(0, 1100).Draw(t, "near VMs")
 		far := rapid.IntRange(0, 2200).Draw(t, "far VMs")
-		life := func(settled bool) int {
-			held := 0
+		held := func(settled bool) int {
+			n := 0
 			for rank := range near {
 				if s := ShareOf(connections, near, far, Contender{Near: true, Chose: true, Rank: rank, Settled: settled}); s.Holder {
-					held += s.Limit
+					n += s.Limit
 				}
 			}
 			for rank := range far {
 				if s := ShareOf(connections, near, far, Contender{Chose: true, Rank: rank, Settled: settled}); s.Holder {
-					held += s.Limit
+					n += s.Limit
 				}
 			}
-			return held
+			return n
 		}
-		if before, after := life(true), life(false); before+after > connections {
+		if before, after := held(true), held(false); before+after > connections {
 			t.Fatalf("%d connections held before and %d after the loss of power, %d published", before, after, connections)
 		}
 	})
@@ -45,7 +45,7 @@
 		holder bool
 	}{
 		{"the last of 39 far VMs", Contender{Rank: 38, Chose: true, Settled: true}, false},
-		{"a settled far VM for which two lives of the near leave room", Contender{Rank: 15, Chose: true, Settled: true}, true},
+		{"a settled far VM for which two incarnations of the near leave room", Contender{Rank: 15, Chose: true, Settled: true}, true},
 		{"a far VM that has just started", Contender{Rank: 0, Chose: true}, false},
 		{"a far VM that chose another searcher", Contender{Rank: 0, Settled: true}, false},
 	}
