--- a/planner/rendezvous.go
+++ b/planner/rendezvous.go
@@ -1,23 +1,14 @@
 package planner
 
 import (
+	"math/bits"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
-// RankOf returns how many of the VMs come before one by their rendezvous hash for the key.
-func RankOf(key string, self modeler.VMName, vms []modeler.VMName) int {
-	mine := score(key, self)
-	n := 0
-	for _, v := range vms {
-		if v != self && compareScored(score(key, v), mine) < 0 {
-			n++
-		}
-	}
-	return n
-}
-
 // Rank orders the VMs by their rendezvous hash for the key, lowest first, and returns the first n.
 func Rank(key string, vms []modeler.VMName, n int) []modeler.VMName {
 	all := make([]scored, len(vms))
@@ -32,16 +23,22 @@
 	return out
 }
 
-// ChoiceOf returns which of a service's fitting searchers a VM chooses by rendezvous hash, or -1: the VMs spread over them, and few choose anew when one comes or goes.
-func (v *View) ChoiceOf(vm modeler.VMName, service int32, fits func(*Searcher) bool) int32 {
-	best, least := int32(-1), scored{}
-	for _, n := range v.Services[service].Searchers {
-		if !fits(&v.Searchers[n]) {
-			continue
-		}
-		if x := score(string(v.Searchers[n].Name), vm); best < 0 || x.score < least.score {
-			best, least = n, x
-		}
-	}
-	return best
+// Key is the hash of a name, from which scores of pairs are made without reading the names again.
+type Key uint64
+
+// KeyOf returns the key of a name.
+func KeyOf(name string) Key { return Key(xxhash.Sum64String(name)) }
+
+// Score returns the rendezvous hash of two keys; the pair with the lowest comes first.
+func (k Key) Score(other Key) uint64 {
+	x := uint64(k) ^ bits.RotateLeft64(uint64(other), 32)
+	x = (x ^ x>>30) * mixFirst
+	x = (x ^ x>>27) * mixSecond
+	return x ^ x>>31
 }
+
+// The multipliers of the finalizer of SplitMix64.
+const (
+	mixFirst  = 0xbf58476d1ce4e5b9
+	mixSecond = 0x94d049bb133111eb
+)
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/pistachiogap/pistachiogap/gossiper"
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/planner"
@@ -16,13 +15,14 @@
 type shares struct {
 	mu       sync.Mutex
 	of       map[netip.AddrPort]limiter.Share
+	fleet    []neighbour
 	outdated bool
 }
 
 func (c *shares) forget() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.of = nil
+	c.of, c.fleet = nil, nil
 	c.outdated = false
 }
 
@@ -59,55 +59,85 @@
 func (v *VM) share(view *planner.View, n int32) limiter.Share {
 	s := &view.Searchers[n]
 	return v.shares.get(s.Address, func() limiter.Share {
-		regions := v.cfg.Routing.Regions
-		near, far := v.crowd.Load().split(regions, regions[s.FailureDomain])
-		unknown := max(0, v.sharers()-len(near)-len(far))
-		connections := view.Services[s.Service].Contract.Connections
-		return limiter.ShareOf(connections, len(near), len(far)+unknown, v.contender(view, n, near, far))
+		if v.shares.fleet == nil {
+			v.shares.fleet = v.crowd.Load().neighbours(v.cfg.Routing.Regions)
+		}
+		near, far, c := v.contend(view, n, v.shares.fleet)
+		unknown := max(0, v.sharers()-near-far)
+		return limiter.ShareOf(view.Services[s.Service].Contract.Connections, near, far+unknown, c)
 	})
 }
 
-// contender says where this VM comes among those that may hold connections to a searcher. Of the far searchers of a service each VM chooses one: that is enough to send a hedge to without opening a connection first.
-func (v *VM) contender(view *planner.View, n int32, near, far []gossiper.Member) limiter.Contender {
-	s := &view.Searchers[n]
-	regions := v.cfg.Routing.Regions
-	region := regions[v.cfg.FailureDomain]
-	key := s.Address.String()
-	if region == regions[s.FailureDomain] {
-		return limiter.Contender{Near: true, Chose: true, Rank: planner.RankOf(key, v.cfg.Name, names(near))}
-	}
-	chosenBy := func(vm modeler.VMName, region string) bool {
-		return n == view.ChoiceOf(vm, s.Service, func(s *planner.Searcher) bool { return regions[s.FailureDomain] != region })
-	}
-	if !chosenBy(v.cfg.Name, region) {
-		return limiter.Contender{}
-	}
-	rivals := slices.DeleteFunc(far, func(m gossiper.Member) bool { return !chosenBy(m.Name, regions[m.Domain]) })
-	return limiter.Contender{
-		Chose: true, Rank: planner.RankOf(key, v.cfg.Name, names(rivals)), Settled: time.Since(v.started) >= SettlePeriod,
+// neighbour is a live VM as far as shares depend on it.
+type neighbour struct {
+	key    planner.Key
+	region string
+}
+
+// neighbours returns the live VMs, this one among them.
+func (c *crowd) neighbours(regions map[modeler.FailureDomain]string) []neighbour {
+	out := make([]neighbour, len(c.live))
+	for i := range c.live {
+		out[i] = neighbour{planner.KeyOf(string(c.live[i].Name)), regions[c.live[i].Domain]}
 	}
+	return out
 }
 
-// split parts the live VMs into those of a region and those of the others.
-func (c *crowd) split(regions map[modeler.FailureDomain]string, region string) (near, far []gossiper.Member) {
-	for _, m := range c.live {
-		if regions[m.Domain] == region {
-			near = append(near, m)
+// contend counts the VMs near a searcher and far from it, and says where this VM comes among those that may hold connections. Of the far searchers of a service each VM chooses one: that is enough to send a hedge to without opening a connection first.
+func (v *VM) contend(view *planner.View, n int32, fleet []neighbour) (near, far int, c limiter.Contender) {
+	self := neighbour{planner.KeyOf(string(v.cfg.Name)), v.cfg.Routing.Regions[v.cfg.FailureDomain]}
+	all := rivalsOf(view, view.Searchers[n].Service, v.cfg.Routing.Regions)
+	s := &all[slices.IndexFunc(all, func(r rival) bool { return r.searcher == n })]
+	c.Near = s.region == self.region
+	c.Chose = c.Near || choice(all, &self) == n
+	c.Settled = time.Since(v.started) >= SettlePeriod
+	mine := s.key.Score(self.key)
+	for i := range fleet {
+		vm := &fleet[i]
+		isNear := vm.region == s.region
+		if isNear {
+			near++
 		} else {
-			far = append(far, m)
+			far++
+		}
+		if isNear == c.Near && c.Chose && s.key.Score(vm.key) < mine && (isNear || choice(all, vm) == n) {
+			c.Rank++
 		}
 	}
-	return near, far
+	return near, far, c
+}
+
+// rival is a searcher of a service as far as the choice among them depends on it.
+type rival struct {
+	searcher int32
+	key      planner.Key
+	region   string
 }
 
-func names(members []gossiper.Member) []modeler.VMName {
-	out := make([]modeler.VMName, len(members))
-	for i, m := range members {
-		out[i] = m.Name
+// rivalsOf returns the searchers of a service.
+func rivalsOf(view *planner.View, service int32, regions map[modeler.FailureDomain]string) []rival {
+	out := make([]rival, len(view.Services[service].Searchers))
+	for i, n := range view.Services[service].Searchers {
+		s := &view.Searchers[n]
+		out[i] = rival{n, planner.KeyOf(string(s.Name)), regions[s.FailureDomain]}
 	}
 	return out
 }
 
+// choice returns the searcher outside the VM's region that the VM chooses by rendezvous hash, or -1: the VMs spread over the searchers, and few choose anew when one comes or goes.
+func choice(all []rival, vm *neighbour) int32 {
+	best, least := int32(-1), uint64(0)
+	for i := range all {
+		if all[i].region == vm.region {
+			continue
+		}
+		if x := all[i].key.Score(vm.key); best < 0 || x < least {
+			best, least = all[i].searcher, x
+		}
+	}
+	return best
+}
+
 // isHolder reports whether this VM may keep connections to a searcher open.
 func (v *VM) isHolder(view *planner.View, n int32) bool { return v.share(view, n).Holder }
 
