--- a/runner/shares_test.go
+++ b/runner/shares_test.go
@@ -91,4 +91,3 @@
 		})
 	}
 }
-
