Shards of overloaded services are left out by plan

Change: shedder learns the queueing delay of each service from its latest answers. Queries leave out an overloaded shard the more often the longer its queue is, evenly spread, and only as far as the least coverage allows; no hedges go there. A line when a service becomes overloaded, the shards left out in the line of each request.

--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -10,6 +10,7 @@
 type Shard struct {
 	Name      modeler.ShardName
 	Documents uint64
+	LeftOut   bool // never asked, for its service is overloaded
 }
 
 // Plan is the fixed part of a query.
@@ -136,6 +137,10 @@
 		return out
 	}
 	for i := range q.shards {
+		if q.plan.Shards[i].LeftOut {
+			q.giveUp(int32(i))
+			continue
+		}
 		out = q.sendElsewhere(now, int32(i), Primary, out)
 	}
 	return out
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiogap/pistachiogap/platform"
 	"github.com/pistachiogap/pistachiogap/scatterer"
 	"github.com/pistachiogap/pistachiogap/server"
+	"github.com/pistachiogap/pistachiogap/shedder"
 	"github.com/pistachiogap/pistachiogap/spawner"
 	"github.com/pistachiogap/pistachiogap/watcher"
 )
@@ -57,6 +58,27 @@
 	v.scatterer.Windows = limiter.NewWindows(limiter.Allowance{
 		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
 	}, v.sharers)
+	v.scatterer.Shedder = shedder.NewShedder()
+}
+
+// noteOverload logs and counts the services that became overloaded, or no longer are.
+func (v *VM) noteOverload() {
+	view := v.view.Load()
+	for _, c := range v.scatterer.Shedder.Changes(time.Now()) {
+		n, ok := int32(0), false
+		if view != nil {
+			n, ok = view.Service(c.Service)
+		}
+		if !ok {
+			continue
+		}
+		if c.Overloaded {
+			v.counter("services.overloaded").Inc(1)
+		}
+		s := &view.Services[n]
+		klog.InfoS("service: overload", "service", string(c.Service), "overloaded", c.Overloaded, "queue-share", c.Queue, "left-out-share", c.LeftOut,
+			"base-ms", c.Base.Milliseconds(), "searchers", len(s.Searchers), "slots", s.Contract.Slots, "revision", uint64(view.Revision))
+	}
 }
 
 // sharers returns how many VMs are taken to share the fleet's allowances: many, as long as the members may not all be known.
@@ -94,6 +116,7 @@
 			v.renewShares(&stage)
 			v.trim()
 			v.warm(ctx)
+			v.noteOverload()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -143,10 +166,12 @@
 			v.dialer.TrimIdle(view.Searchers[i].Address, ShortIdle)
 		}
 	}
-	v.scatterer.Windows.Keep(func(n modeler.ServiceName) bool {
+	known := func(n modeler.ServiceName) bool {
 		_, ok := view.Service(n)
 		return ok
-	})
+	}
+	v.scatterer.Windows.Keep(known)
+	v.scatterer.Shedder.Keep(known)
 	if view.Limits != nil {
 		v.idle.Close(time.Now(), view.Limits.IdleTimeout.Duration)
 	}
@@ -191,7 +216,7 @@
 	fields := []any{
 		"id", string(f.ID), "route", string(f.Route), "revision", uint64(f.Config), "outcome", f.Outcome, "status", f.Status,
 		"took-ms", f.Took.Milliseconds(), "shards", res.Shards, "answered", res.Answered, "sent", res.Sent,
-		"faults", res.Faults.String(), "may-have-run", res.MayHaveRun,
+		"faults", res.Faults.String(), "may-have-run", res.MayHaveRun, "left-out", res.LeftOut,
 	}
 	if f.Status < http.StatusMultipleChoices && f.Outcome == string(server.Complete) {
 		klog.InfoS("request: answered", fields...)
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -49,6 +49,9 @@
 
 // spendWindow allows an extra attempt within the allowance of the shard's service; part of it is left to retries.
 func (r *run) spendWindow(now time.Time, shard int32, p gatherer.Purpose) bool {
+	if p != gatherer.Retry && r.overloaded(now, shard) {
+		return false
+	}
 	share := 1.0
 	if p != gatherer.Retry {
 		share = limiter.HedgeShare
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -41,6 +41,11 @@
 		r.quarantine()
 		res.Crashed = true
 	}
+	for i, h := range r.plan.Shards {
+		if h.LeftOut {
+			res.LeftOut = append(res.LeftOut, r.shardName(int32(i)))
+		}
+	}
 	if r.sampled || res.Answered < res.Shards || res.Sent > res.Primaries {
 		r.s.Recorder.Keep(r.notes)
 	}
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -33,6 +33,8 @@
 	print     observer.Fingerprint
 	prefix    string
 	query     *gatherer.Query
+	plan      gatherer.Plan
+	answered  []bool
 	ends      chan end
 	hedges    *limiter.Budget
 	retries   *limiter.Budget
@@ -64,7 +66,7 @@
 	}
 	policy := req.Index.Policy
 	r.hedges, r.retries = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, len(req.Snapshot.Shards))
-	plan := r.plan()
+	plan := r.newPlan()
 	hold := s.hold
 	if req.Forward != nil {
 		r.picker.Stall = stallLimit(req.View, req.Snapshot)
@@ -74,6 +76,9 @@
 			hold = func(bool) bool { return false }
 		}
 	}
+	r.leaveOut(&plan)
+	r.plan = plan
+	r.answered = make([]bool, len(plan.Shards))
 	r.query = gatherer.NewQuery(plan, gatherer.Seams{
 		Pick:       r.picker.Pick,
 		Spend:      r.spend,
@@ -93,7 +98,7 @@
 	return observer.FingerprintOf(req.Index.Name, req.Body)
 }
 
-func (r *run) plan() gatherer.Plan {
+func (r *run) newPlan() gatherer.Plan {
 	policy := r.req.Index.Policy
 	now := r.s.now()
 	plan := gatherer.Plan{
@@ -167,6 +172,7 @@
 		r.cancels[a.Attempt]()
 		r.note(recorder.AttemptCancelled, a)
 	case gatherer.ActionMerge:
+		r.observeAnswer(a)
 		r.hits = append(r.hits, e.hits...)
 		if r.req.Forward != nil {
 			r.parts = append(r.parts, Part{a.Shard, e.reply})
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
 	"github.com/pistachiogap/pistachiogap/recorder"
+	"github.com/pistachiogap/pistachiogap/shedder"
 )
 
 // Scatterer runs sub-queries on searchers for one VM.
@@ -23,6 +24,7 @@
 	Recorder   *recorder.Recorder
 	Budgets    *limiter.Budgets
 	Windows    *limiter.Windows
+	Shedder    *shedder.Shedder
 
 	starved  atomic.Int64
 	now      func() time.Time
@@ -155,6 +157,7 @@
 	Failure    *dialer.Reply
 	MayHaveRun bool
 	Faults     gatherer.FaultCounts
+	LeftOut    []modeler.ShardName
 }
 
 // Part is the answer of one shard of a route.
@@ -169,6 +172,7 @@
 	defer cancel()
 	r := newRun(s, req)
 	r.loop(ctx)
+	r.observeMissing()
 	r.judgeLate(ctx)
 	return r.result()
 }
