Searchers that refuse are known by their rate of refusals

Cause: a refusal counted as an answer after 100 ms, which the next answers forgot; while most searchers refuse six in ten, the one that doesn't was not preferred for long. Change: a rate of refusals a searcher, forgotten within seconds, adds to its cost.

--- a/observer/constants.go
+++ b/observer/constants.go
@@ -12,7 +12,9 @@
 	TypicalHedge     = 2.0
 	MinTypicalHedge  = 8 * time.Millisecond
 	UnknownHedge     = 30 * time.Millisecond
-	ShedLatency      = 100 * time.Millisecond
+	RefusalWeight    = 0.2
+	RefusalCost      = 150 * time.Millisecond
+	ForgetRefusals   = 3 * time.Second
 	CensoredFactor   = 2.0
 	ForgetLatency    = 10 * time.Second
 	EjectAfter       = 3
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -31,6 +31,8 @@
 	waiting  time.Time
 	slow     int
 	slowAt   time.Time
+	refusing float64
+	refused  time.Time
 }
 
 // belongTo sets the service whose usual latency is expected while little is known of the searcher.
@@ -58,6 +60,7 @@
 	s.failures = 0
 	s.ejects = 0
 	s.waiting = now
+	s.refusing -= RefusalWeight * s.refusing
 	s.learn(now, float64(latency))
 }
 
@@ -101,12 +104,19 @@
 	s.news.Add(1)
 }
 
-// Shed ends an attempt that the searcher refused because of its load; it counts as a slow one.
+// Shed ends an attempt that the searcher refused because of its load.
 func (s *Searcher) Shed(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.inflight--
-	s.latency, s.learned = max(s.latency, float64(ShedLatency)), now
+	s.refusing = s.refusals(now)
+	s.refusing += RefusalWeight * (1 - s.refusing)
+	s.refused = now
+}
+
+// refusals returns the share of attempts that the searcher is expected to refuse.
+func (s *Searcher) refusals(now time.Time) float64 {
+	return s.refusing * math.Exp(-float64(max(0, now.Sub(s.refused)))/float64(ForgetRefusals))
 }
 
 // Ended ends an attempt that says nothing of the searcher's health.
@@ -184,7 +194,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	queue := 1 + float64(s.inflight)/float64(max(1, slots))
-	cost := s.expected(now)*queue + float64(link)
+	cost := s.expected(now)*queue + float64(link) + s.refusals(now)*float64(RefusalCost)
 	if warm := now.Sub(s.cold); warm >= 0 && warm < SlowStart {
 		cost *= ColdPenalty - (ColdPenalty-1)*float64(warm)/float64(SlowStart)
 	}
