--- a/runner/routing.go
+++ b/runner/routing.go
@@ -179,7 +179,7 @@
 
 func (v *VM) serveRoutes(ctx context.Context) error {
 	forwards := &server.Forwards{
-		Dialect: platform.Callers(), View: v.view.Load, Gather: v.scatterer.Run, Admitter: v.admitter, Starved: v.scatterer.Starved,
+		Dialect: platform.Callers(), View: v.view.Load, Gather: v.scatterer.Run, Gathered: v.admitter, Single: limiter.NewAdmitter(), Starved: v.scatterer.Starved,
 		Quarantine: v.quarantine, Draining: v.draining.Load, Done: v.forwarded,
 		Merge: func(parts []scatterer.Part, limit int) []byte {
 			return scatterer.MergeRecords(parts, platform.RecordBytes, limit)
--- a/server/forward.go
+++ b/server/forward.go
@@ -49,7 +49,8 @@
 	Dialect    Dialect
 	View       func() *planner.View
 	Gather     func(ctx context.Context, req scatterer.Request) scatterer.Result
-	Admitter   *limiter.Admitter
+	Gathered   *limiter.Admitter
+	Single     *limiter.Admitter
 	Starved    func() int
 	Quarantine *observer.Quarantine
 	Draining   func() bool
@@ -189,12 +190,13 @@
 	if !f.start.Before(f.deadline) {
 		return refuser.New(refuser.Overloaded, "no time is left")
 	}
-	if !s.Admitter.Admit("", f.route.Priority == 0) {
+	admitter := s.admitter(f)
+	if !admitter.Admit("", f.route.Priority == 0) {
 		return refuser.New(refuser.Overloaded, "this VM is at its limit")
 	}
 	res := s.Gather(r.Context(), s.request(r, f))
-	s.Admitter.Release("")
-	s.Admitter.Observe(time.Now(), res.Sent, s.Starved()+widely(res.Shed, res.Sent))
+	admitter.Release("")
+	admitter.Observe(time.Now(), res.Sent, s.Starved()+widely(res.Shed, res.Sent))
 	done.Result = res
 	if len(f.route.Shards) > 0 {
 		return s.writeGathered(w, f, &res, done)
@@ -202,6 +204,14 @@
 	return s.writeSingle(w, f, &res, done)
 }
 
+// admitter returns what admits the request: searchers that refuse parts say nothing of those that serve single requests.
+func (s *Forwards) admitter(f *forward) *limiter.Admitter {
+	if len(f.route.Shards) > 0 {
+		return s.Gathered
+	}
+	return s.Single
+}
+
 func (s *Forwards) request(r *http.Request, f *forward) scatterer.Request {
 	req := scatterer.Request{
 		ID: f.in.ID, View: f.view, Index: f.route.Index, Snapshot: f.snapshot, Body: f.body, Limit: f.route.Limit, Deadline: f.deadline,
