Connections of services that have no searcher in some region

Cause: shares of a searcher's connections give near VMs most, for far ones only hedge. Where a shard is left with one searcher, each VM of the other regions has one connection, which carries 27 requests a second over a link of 24 ms; 32 are sent. They waited on the VM. Change: VMs without a searcher of the service in their region get up to twice the connections of others, and nearly all published ones are used.

--- a/limiter/share_test.go
+++ b/limiter/share_test.go
@@ -55,3 +55,40 @@
 		}
 	}
 }
+
+// The load: a service has no searcher in the regions of some VMs, and all of its VMs use their shares of one.
+func TestSharesOfAThinServiceFitThePublishedConnections(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		connections := rapid.IntRange(20, 500).Draw(t, "connections")
+		near := rapid.IntRange(0, 300).Draw(t, "near VMs")
+		far := rapid.IntRange(0, 300).Draw(t, "far VMs")
+		remote := rapid.IntRange(1, 300).Draw(t, "remote VMs")
+		n := ShareOfThin(connections, near, far, remote, Contender{Near: true})
+		f := ShareOfThin(connections, near, far, remote, Contender{})
+		r := ShareOfThin(connections, near, far, remote, Contender{Remote: true})
+		if (n.Limit == 0) != (r.Limit == 0) || (n.Limit == 0) != (f.Limit == 0) {
+			t.Fatalf("some VMs take shares of a thin service, others do not: %+v %+v %+v", n, f, r)
+		}
+		if all := near*n.Limit + far*f.Limit + remote*r.Limit; all > connections {
+			t.Fatalf("%d connections, %d published", all, connections)
+		}
+		if r.Limit < n.Limit && r.Limit < f.Limit {
+			t.Fatalf("a remote VM has fewer than the others: %+v %+v %+v", n, f, r)
+		}
+	})
+}
+
+// The load: of a service of Stallward's three searchers one is left, near three of eight VMs. The others send 32 requests a second, each of which occupies a connection for 24 ms of link and 11 ms of work.
+func TestRemoteVMsCarryTheirLoadOverAThinService(t *testing.T) {
+	const (
+		occupied = 35e-3 // seconds
+		rate     = 32.0  // a second
+	)
+	s := ShareOfThin(26, 3, 0, 5, Contender{Remote: true})
+	if carried := float64(s.Limit) / occupied; carried < 2*rate {
+		t.Errorf("%d connections carry %.0f requests a second, %.0f are sent: no room for a queue", s.Limit, carried, rate)
+	}
+	if s := ShareOfThin(26, 3, 5, 0, Contender{}); s.Limit != 0 {
+		t.Errorf("a service with searchers in all regions is not thin: %+v", s)
+	}
+}
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -62,9 +62,13 @@
 		if v.shares.fleet == nil {
 			v.shares.fleet = v.crowd.Load().neighbours(v.cfg.Routing.Regions)
 		}
-		near, far, c := v.contend(view, n, v.shares.fleet)
+		near, far, remote, c := v.contend(view, n, v.shares.fleet)
 		unknown := max(0, v.sharers()-near-far)
-		return limiter.ShareOf(view.Services[s.Service].Contract.Connections, near, far+unknown, c)
+		connections := view.Services[s.Service].Contract.Connections
+		if share := limiter.ShareOfThin(connections, near, far-remote+unknown, remote, c); share.Limit > 0 {
+			return share
+		}
+		return limiter.ShareOf(connections, near, far+unknown, c)
 	})
 }
 
@@ -83,12 +87,14 @@
 	return out
 }
 
-// contend counts the VMs near a searcher and far from it, and says where this VM comes among those that may hold connections. Of the far searchers of a service each VM chooses one: that is enough to send a hedge to without opening a connection first.
-func (v *VM) contend(view *planner.View, n int32, fleet []neighbour) (near, far int, c limiter.Contender) {
+// contend counts the VMs near a searcher and far from it, those of the far ones that have no searcher of its service in their region, and says where this VM comes among those that may hold connections. Of the far searchers of a service each VM chooses one: that is enough to send a hedge to without opening a connection first.
+func (v *VM) contend(view *planner.View, n int32, fleet []neighbour) (near, far, remote int, c limiter.Contender) {
 	self := neighbour{planner.KeyOf(string(v.cfg.Name)), v.cfg.Routing.Regions[v.cfg.FailureDomain]}
 	all := rivalsOf(view, view.Searchers[n].Service, v.cfg.Routing.Regions)
 	s := &all[slices.IndexFunc(all, func(r rival) bool { return r.searcher == n })]
 	c.Near = s.region == self.region
+	bare := bareRegions(all, v.cfg.Routing.Regions)
+	c.Remote = slices.Contains(bare, self.region)
 	c.Chose = c.Near || choice(all, &self) == n
 	c.Settled = time.Since(v.started) >= SettlePeriod
 	mine := s.key.Score(self.key)
@@ -100,11 +106,26 @@
 		} else {
 			far++
 		}
+		if len(bare) > 0 && slices.Contains(bare, vm.region) {
+			remote++
+		}
 		if isNear == c.Near && c.Chose && s.key.Score(vm.key) < mine && (isNear || choice(all, vm) == n) {
 			c.Rank++
 		}
 	}
-	return near, far, c
+	return near, far, remote, c
+}
+
+// bareRegions returns the regions that have none of the searchers.
+func bareRegions(all []rival, regions map[modeler.FailureDomain]string) []string {
+	var bare []string
+	for _, region := range regions {
+		has := slices.ContainsFunc(all, func(r rival) bool { return r.region == region })
+		if !has && !slices.Contains(bare, region) {
+			bare = append(bare, region)
+		}
+	}
+	return bare
 }
 
 // rival is a searcher of a service as far as the choice among them depends on it.
