--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -59,14 +59,14 @@
 func (c *conn) leftOver() bool { return c.r != nil && c.r.Buffered() > 0 }
 
 // exchange sends one request and reads the whole answer; silent says that no byte of an answer came. Once the context ends it waits for no longer than the linger, so that a connection is not lost for an answer that is nearly there.
-func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, linger time.Duration) (silent bool, err error) {
+func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, linger time.Duration, most int) (silent bool, err error) {
 	c.acquire()
 	cut := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Now().Add(linger))
 		close(cut)
 	})
-	silent, err = c.transfer(req, res)
+	silent, err = c.transfer(req, res, most)
 	if !stop() {
 		<-cut
 		_ = c.SetDeadline(time.Time{})
@@ -74,7 +74,7 @@
 	return silent, err
 }
 
-func (c *conn) transfer(req *fasthttp.Request, res *fasthttp.Response) (silent bool, err error) {
+func (c *conn) transfer(req *fasthttp.Request, res *fasthttp.Response, most int) (silent bool, err error) {
 	if err := req.Write(c.w); err != nil {
 		return true, err
 	}
@@ -84,7 +84,7 @@
 	if _, err := c.r.Peek(1); err != nil {
 		return true, err
 	}
-	return false, res.ReadLimitBody(c.r, MaxAnswerBytes)
+	return false, res.ReadLimitBody(c.r, most)
 }
 
 // stale reports whether the other end closed the idle connection or sent something unasked.
--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -5,6 +5,7 @@
 // Bounds of connections and answers.
 const (
 	MaxAnswerBytes  = 1 << 20
+	MaxPartBytes    = 256 << 10 // of one shard of many: hundreds may be under way at once
 	DialTimeout     = time.Second
 	IdleLimit       = 30 * time.Second
 	ProveAfter      = 500 * time.Millisecond
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -80,8 +80,17 @@
 	Proven   bool
 	Fresh    bool
 	Linger   time.Duration
-	Expect   modeler.SearcherName
-	Message  *Message
+	// MostBytes bounds the body of the answer, in bytes; 0 means MaxAnswerBytes.
+	MostBytes int
+	Expect    modeler.SearcherName
+	Message   *Message
+}
+
+func (c *Call) mostBytes() int {
+	if c.MostBytes == 0 {
+		return MaxAnswerBytes
+	}
+	return c.MostBytes
 }
 
 // Message is the part of a caller's request that is passed on unchanged.
@@ -123,7 +132,7 @@
 	d.wire.Fill(req, &call, call.Deadline.Sub(d.now()))
 	res.SkipBody = req.Header.IsHead()
 	sent := d.now()
-	if silent, err := c.exchange(ctx, req, res, call.Linger); err != nil {
+	if silent, err := c.exchange(ctx, req, res, call.Linger, call.mostBytes()); err != nil {
 		return Reply{Fault: d.failed(ctx, p, c, sent, silent), Err: err}
 	}
 	r := d.wire.Read(res, &call)
@@ -201,7 +210,7 @@
 	req.Header.SetHost(p.addr.String())
 	req.Header.SetUserAgent(userAgent)
 	sent := d.now()
-	if silent, err := c.exchange(ctx, req, res, 0); err != nil {
+	if silent, err := c.exchange(ctx, req, res, 0, MaxAnswerBytes); err != nil {
 		d.failed(ctx, p, c, sent, silent)
 		return Load{}, err
 	}
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -372,7 +372,7 @@
 		req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 		req.SetRequestURI("/load")
 		req.Header.SetHost("x")
-		if _, err := newConn(near).exchange(t.Context(), req, res, 0); err == nil {
+		if _, err := newConn(near).exchange(t.Context(), req, res, 0, MaxAnswerBytes); err == nil {
 			read(res)
 		}
 		_ = near.Close()
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -67,6 +67,7 @@
 	call.Linger = SingleLinger
 	if len(r.req.Snapshot.Shards) > 1 {
 		call.Linger = PartLinger
+		call.MostBytes = dialer.MaxPartBytes
 	}
 	call.Proven = r.req.Forward.AtMostOnce || needsProof(a.Purpose)
 }
