After a loss, a probe that finds nobody sends to no second replica

Cause: a shard that lost its attempt while a probe of the same replica was under way was not held; when the probe found no searcher, the shard was sent to a second replica before any answer, free of charge. Change: a shard is held once any of its attempts was lost, however its last one ended. Measured: the new case of TestQuery fails without it (8 attempts sent, 7 allowed).

--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -61,6 +61,7 @@
 	hedges  uint8
 	denied  uint8
 	fault   Fault
+	lost    bool // an attempt was lost
 	tried   [MaxTries]int32
 	hedgeAt time.Time
 }
@@ -193,11 +194,12 @@
 	}
 	if f == FaultLost {
 		q.lost = append(q.lost, a.searcher)
+		s.lost = true
 	}
 	if s.phase != shardOpen || s.open > 0 {
 		return out
 	}
-	if f == FaultLost && q.seams.Hold(q.cleared) {
+	if s.lost && q.seams.Hold(q.cleared) {
 		s.phase = shardHeld
 		return out
 	}
--- a/gatherer/query_test.go
+++ b/gatherer/query_test.go
@@ -141,6 +141,11 @@
 		{name: "known good request is not held", shards: 2, tokens: 9, change: func(_ *bench, p *Plan) { p.KnownGood = true }, play: func(b *bench) { b.fault(0, FaultLost) }, sent: 3},
 		{name: "straggler is hedged once an answer is in", shards: 2, tokens: 1, play: func(b *bench) { b.answer(0); b.wait(11 * time.Millisecond) }, sent: 3, answered: 1},
 		{name: "before any answer only probes leave", shards: 5, tokens: 9, play: func(b *bench) { b.wait(11 * time.Millisecond) }, sent: 5 + CanaryProbes},
+		{name: "after a loss a probe that finds nobody tries no second replica", shards: 5, tokens: 9, play: func(b *bench) {
+			b.wait(11 * time.Millisecond)
+			b.fault(0, FaultLost)
+			b.fault(5, FaultNotSent)
+		}, sent: 5 + CanaryProbes},
 		{name: "no budget, no hedge", shards: 2, play: func(b *bench) { b.answer(0); b.wait(11 * time.Millisecond) }, sent: 2, answered: 1},
 		{name: "deadline ends it partial", shards: 2, play: func(b *bench) { b.answer(0); b.wait(101 * time.Millisecond) }, sent: 2, answered: 1, done: true},
 		{name: "patience ends it with enough coverage", shards: 4, change: func(_ *bench, p *Plan) {
@@ -201,9 +206,10 @@
 	}
 }
 
-// play drives a query with random events and returns it; secondReplica says that a shard reached a second replica though all that happened were connection losses, as with a crashing request.
+// play drives a query with random events and returns it; secondReplica says that a shard reached a second replica before any answer, though an attempt of it was lost or nothing but losses had happened, as with a crashing request.
 func play(t *rapid.T, change func(*bench, *Plan)) (b *bench, secondReplica bool) {
 	b = newBench(rapid.IntRange(1, 12).Draw(t, "shards"), rapid.IntRange(0, 30).Draw(t, "tokens"), change)
+	lost := map[int32]int{} // by shard, attempts sent when one of it was lost
 	for range rapid.IntRange(0, 60).Draw(t, "events") {
 		id := rapid.Int32Range(0, int32(len(b.sent))-1).Draw(t, "attempt")
 		switch rapid.IntRange(0, 4).Draw(t, "event") {
@@ -220,15 +226,37 @@
 			b.mixed = true
 			b.do(Event{Kind: EventAnswer, Attempt: id, Claim: c})
 		case 4:
+			if b.q.isOpen(id) {
+				lost[b.sent[id].Shard] = len(b.sent)
+			}
 			b.fault(id, FaultLost)
 		}
-		if b.q.Answered() == 0 && !b.mixed && reachedTwo(b) {
+		if b.q.Answered() == 0 && (!b.mixed && reachedTwo(b) || wentOnAfterLoss(b, lost)) {
 			secondReplica = true
 		}
 	}
 	return b, secondReplica
 }
 
+// wentOnAfterLoss reports whether a shard was sent to another replica after one of its attempts was lost.
+func wentOnAfterLoss(b *bench, lost map[int32]int) bool {
+	for shard, n := range lost {
+		first := int32(-1)
+		for i, a := range b.sent {
+			if a.Shard != shard {
+				continue
+			}
+			if first < 0 {
+				first = a.Searcher
+			}
+			if i >= n && a.Searcher != first {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func reachedTwo(b *bench) bool {
 	for i := range b.q.shards {
 		s := &b.q.shards[i]
