--- a/observer/constants.go
+++ b/observer/constants.go
@@ -12,9 +12,9 @@
 	TypicalHedge     = 2.0
 	MinTypicalHedge  = 8 * time.Millisecond
 	UnknownHedge     = 30 * time.Millisecond
-	RefusalWeight    = 0.2
+	RefusalWeight    = 0.4
 	RefusalCost      = 150 * time.Millisecond
-	ForgetRefusals   = 3 * time.Second
+	ForgetRefusals   = 10 * time.Second
 	CensoredFactor   = 2.0
 	ForgetLatency    = 10 * time.Second
 	EjectAfter       = 3
