Links that are shorter than taken for do not hide a queue

Ordinary work then looked like a queue. Change: such answers say that there is no queue, and nothing of the base.

--- a/scatterer/shed.go
+++ b/scatterer/shed.go
@@ -62,7 +62,7 @@
 	if r.s.Shedder == nil || len(r.answered) < 2 {
 		return
 	}
-	r.s.Shedder.Observe(now, r.serviceName(r.req.Snapshot.Shards[shard].Service), max(0, took), r.couldWait())
+	r.s.Shedder.Observe(now, r.serviceName(r.req.Snapshot.Shards[shard].Service), took, r.couldWait())
 }
 
 // couldWait returns how long the query waits for all of its shards.
--- a/shedder/service.go
+++ b/shedder/service.go
@@ -19,15 +19,22 @@
 
 // observe takes the time that a shard took to answer, without the link, of the time that its query had for it.
 func (s *service) observe(now time.Time, took, had time.Duration) {
-	base := s.base.observe(now, took)
-	queue := 1.0
-	if had > base {
-		queue = min(1, float64(took-base)/float64(had-base))
+	queue := 0.0
+	if took > 0 { // a link may be shorter than it is taken for
+		queue = queueOf(s.base.observe(now, took), took, had)
 	}
 	s.recent[s.next] = sample{now, queue}
 	s.next = (s.next + 1) % Samples
 }
 
+// queueOf returns the part of the time that was spent beyond the base, as a share of what the query had beyond it.
+func queueOf(base, took, had time.Duration) float64 {
+	if had <= base {
+		return 1
+	}
+	return min(1, float64(took-base)/float64(had-base))
+}
+
 // queue returns the least queueing delay of the latest samples; a single pause of a searcher, or a single slow request, is no overload.
 func (s *service) queue(now time.Time) float64 {
 	least := 1.0
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -38,6 +38,8 @@
 	}{
 		{"nothing known", nil, 0, false},
 		{"answers without a queue", ms(10, 11, 12, 10, 14, 11, 13), 0, false},
+		{"shorter links than taken for, then a queue", ms(-12, -11, 10, -12, 60, 60, 60, 60, 60, 60), 0, true},
+		{"shorter links than taken for", ms(-12, 12, -12, 14, -12, 20, 22), 0, false},
 		{"too few answers", ms(10, 90, 90, 90, 90), 0, false},
 		{"a pause delays some", ms(10, 10, 90, 90, 90, 90, 12), 0, false},
 		{"all of the latest waited", ms(10, 60, 60, 60, 60, 60, 60), 0, true},
