--- a/runner/constants.go
+++ b/runner/constants.go
@@ -26,6 +26,8 @@
 // Bounds of what a VM asks of its neighbours.
 const (
 	JoinTimeout    = time.Second
+	SeedsTimeout   = 2 * time.Second
+	SeedsPeriod    = 100 * time.Millisecond
 	MissingShare   = 10
 	JoinPeers      = 3
 	LonelyPeriod   = 400 * time.Millisecond
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -95,6 +96,9 @@
 
 // joinRouting asks the store, or else a few peers, for the configuration before the VM serves; the members are learned while it serves.
 func (v *VM) joinRouting(ctx context.Context) {
+	if v.cfg.Routing.FirstStart && !v.isSeed() && v.joinSeeds(ctx) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, JoinTimeout)
 	defer cancel()
 	if err := v.follower.Step(ctx); err != nil {
@@ -105,6 +109,25 @@
 	}
 }
 
+// isSeed reports whether others find the fleet by this VM.
+func (v *VM) isSeed() bool { return slices.Contains(*v.peerSeeds.Load(), v.cfg.Advertise) }
+
+// joinSeeds takes the configuration from the VMs by which others find the fleet, and reports whether there was one in time; a whole fleet that starts at once would ask the store as often as it has VMs.
+func (v *VM) joinSeeds(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, SeedsTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, a := range v.syncSome(ctx, JoinPeers) {
+			v.pullFrom(ctx, a)
+			if v.store.Head() > 0 {
+				return true
+			}
+		}
+		spawner.Sleep(ctx, SeedsPeriod)
+	}
+	return false
+}
+
 // routeUpkeep trims connections and idle callers once a period.
 func (v *VM) routeUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -51,6 +51,7 @@
 	RetrySlack  float64                          `json:"retry-slack"`
 	RetryWindow modeler.Duration                 `json:"retry-window"`
 	DrainWithin modeler.Duration                 `json:"drain-within"`
+	FirstStart  bool                             `json:"first-start"`
 }
 
 // Check fills in the defaults and returns the faults of the settings.
