Large answers between VMs are compressed and bounded

An answer of a peer was read without a bound. Change: answers from 4 KB on are compressed where the caller accepts it (the client's transport does and unpacks); more than 8 MB, packed or not, is an error.

--- a/relayer/auth.go
+++ b/relayer/auth.go
@@ -49,7 +49,26 @@
 	out.Header.Set(headerAuth, signature(s.key, r.URL.Path, at, body))
 	out.Body = io.NopCloser(bytes.NewReader(body))
 	out.GetBody = nil
-	return s.next.RoundTrip(out)
+	res, err := s.next.RoundTrip(out)
+	if err == nil {
+		res.Body = &boundedBody{res.Body, MaxCallBytes}
+	}
+	return res, err
+}
+
+// boundedBody is the body of an answer that fails beyond a size, for nobody else bounds what is read of it.
+type boundedBody struct {
+	io.ReadCloser
+	left int
+}
+
+// Read reads the next bytes; the error says that the answer is too large.
+func (b *boundedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if b.left -= n; b.left < 0 {
+		return 0, errors.New("answer is too large")
+	}
+	return n, err
 }
 
 // verify returns the body of a call if one of the keys signed it lately.
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -301,6 +300,6 @@
 		Store: v.store, Gossip: v.gossip, Home: v.home, Orderer: v.orderer, Scatterer: v.scatterer,
 		View: v.view.Load, Self: v.incarnation,
 	}
-	h := relayer.Authenticated(v.cfg.keyBytes(), http.Handler(messenger.NewPeerServer(service)))
+	h := relayer.Authenticated(v.cfg.keyBytes(), relayer.Compressed(messenger.NewPeerServer(service)))
 	return server.Serve(ctx, server.NewPeerServer(h), v.peers, time.Second)
 }
