--- a/server/constants.go
+++ b/server/constants.go
@@ -21,6 +21,8 @@
 	ReturnMargin    = 10 * time.Millisecond
 	ObjectiveMargin = 22 * time.Millisecond
 	RouteRetryAfter = 100 * time.Millisecond
+
+	UnconfiguredRetryAfter = time.Second
 )
 
 // The headers of the callers' protocol.
--- a/server/forward.go
+++ b/server/forward.go
@@ -284,12 +284,20 @@
 	return refuser.New(refuser.Unserved, "%s", detail)
 }
 
+// retryAfter returns when a caller that was refused may be served: a VM at its limit soon has a place, one without a configuration waits for the store.
+func retryAfter(k refuser.Kind) time.Duration {
+	if k == refuser.Unconfigured {
+		return UnconfiguredRetryAfter
+	}
+	return RouteRetryAfter
+}
+
 // refuse answers an error by the table of kinds.
 func (s *Forwards) refuse(w http.ResponseWriter, err error, done *Forwarded) {
 	refusal := refuser.From(err)
 	row := refuser.Lookup(refusal.Kind)
 	if row.RetryAfter > 0 && row.NotRun == refuser.Yes {
-		w.Header().Set("Retry-After", strconv.FormatFloat(RouteRetryAfter.Seconds(), 'g', -1, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter(refusal.Kind).Seconds(), 'g', -1, 64))
 	}
 	done.Outcome, done.Detail, done.Status = string(refusal.Kind), refusal.Detail, row.Status
 	w.Header().Set("Content-Type", "text/plain")
