Names: membership, replicas, peers, candidates, control searchers, hooks

Cause: crowd, rival, neighbour, contender, bystander and seam are words of our own where the field has one. Measured: vet and the tests of the packages pass; no behaviour changed.

--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -14,7 +14,7 @@
 			continue
 		}
 		if !now.Before(s.hedgeAt) {
-			s.hedgeAt = now.Add(q.seams.HedgeAfter(int32(i)))
+			s.hedgeAt = now.Add(q.hooks.HedgeAfter(int32(i)))
 			out = q.hedge(now, int32(i), out)
 		}
 		if s.hedges < MaxHedges {
@@ -38,10 +38,10 @@
 		s.hedges = MaxHedges
 		return out
 	}
-	if q.seams.Hold(q.cleared) {
+	if q.hooks.Hold(q.cleared) {
 		return q.probe(now, shard, out)
 	}
-	searcher, ok := q.seams.Pick(now, shard, s.tried[:s.tries])
+	searcher, ok := q.hooks.Pick(now, shard, s.tried[:s.tries])
 	if !ok && s.hedges > 0 {
 		searcher, ok = s.tried[0], true
 	}
@@ -52,7 +52,7 @@
 	case s.denied > 0:
 		purpose = LateHedge
 	}
-	if !ok || !q.seams.Spend(now, shard, purpose) {
+	if !ok || !q.hooks.Spend(now, shard, purpose) {
 		s.denied = min(s.denied+1, MaxHedges)
 		return out
 	}
@@ -62,7 +62,7 @@
 
 // paid reports whether a probe may be sent; it is free unless the plan has everything paid for.
 func (q *Query) paid(now time.Time, shard int32) bool {
-	return !q.plan.PayForAll || q.seams.Spend(now, shard, Probe)
+	return !q.plan.PayForAll || q.hooks.Spend(now, shard, Probe)
 }
 
 // probe asks the same replica again on a new connection, for a few shards of a query that nothing has answered yet.
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -29,8 +29,8 @@
 	PayForAll     bool // every attempt after the first is paid for, unless the one before was never sent
 }
 
-// Seams are the decisions that a query takes from the state it shares with others.
-type Seams struct {
+// Hooks are the decisions that a query takes from the state it shares with others.
+type Hooks struct {
 	Pick       func(now time.Time, shard int32, tried []int32) (searcher int32, ok bool)
 	Spend      func(now time.Time, shard int32, p Purpose) bool
 	HedgeAfter func(shard int32) time.Duration
@@ -76,7 +76,7 @@
 // Query is the state machine of one scattered query.
 type Query struct {
 	plan     Plan
-	seams    Seams
+	hooks    Hooks
 	shards   []shardState
 	attempts []attempt
 
@@ -99,8 +99,8 @@
 }
 
 // NewQuery makes a query that has sent nothing.
-func NewQuery(plan Plan, seams Seams) *Query {
-	q := &Query{plan: plan, seams: seams, cleared: plan.KnownGood, nextHedge: plan.Deadline}
+func NewQuery(plan Plan, hooks Hooks) *Query {
+	q := &Query{plan: plan, hooks: hooks, cleared: plan.KnownGood, nextHedge: plan.Deadline}
 	q.shards = make([]shardState, len(plan.Shards))
 	q.attempts = make([]attempt, 0, len(plan.Shards)+len(plan.Shards)/8+MaxTries)
 	for _, s := range plan.Shards {
@@ -152,7 +152,7 @@
 		return append(out, Action{Kind: ActionDrop, Attempt: ev.Attempt})
 	}
 	a := &q.attempts[ev.Attempt]
-	if !q.seams.Matches(q.want(ev.Attempt), ev.Claim) {
+	if !q.hooks.Matches(q.want(ev.Attempt), ev.Claim) {
 		out = append(out, Action{Kind: ActionDrop, Attempt: ev.Attempt, Shard: a.shard, Searcher: a.searcher})
 		return q.fail(now, ev.Attempt, FaultCrossed, out)
 	}
@@ -199,7 +199,7 @@
 	if s.phase != shardOpen || s.open > 0 {
 		return out
 	}
-	if s.lost && q.seams.Hold(q.cleared) {
+	if s.lost && q.hooks.Hold(q.cleared) {
 		s.phase = shardHeld
 		return out
 	}
@@ -211,7 +211,7 @@
 	if s.open > 0 {
 		return out
 	}
-	if !q.mayTry(s) || !q.mayRetry(s) || (!q.isFree(s.fault) && !q.seams.Spend(now, shard, Retry)) {
+	if !q.mayTry(s) || !q.mayRetry(s) || (!q.isFree(s.fault) && !q.hooks.Spend(now, shard, Retry)) {
 		q.giveUp(shard)
 		return out
 	}
@@ -248,7 +248,7 @@
 
 func (q *Query) sendElsewhere(now time.Time, shard int32, p Purpose, out []Action) []Action {
 	s := &q.shards[shard]
-	searcher, ok := q.seams.Pick(now, shard, s.tried[:s.tries])
+	searcher, ok := q.hooks.Pick(now, shard, s.tried[:s.tries])
 	if !ok {
 		if s.open == 0 {
 			q.giveUp(shard)
@@ -264,7 +264,7 @@
 	s.tries++
 	s.runs++
 	s.open++
-	s.hedgeAt = now.Add(q.seams.HedgeAfter(shard))
+	s.hedgeAt = now.Add(q.hooks.HedgeAfter(shard))
 	q.nextHedge = earlier(q.nextHedge, s.hedgeAt)
 	id := int32(len(q.attempts))
 	q.attempts = append(q.attempts, attempt{shard, searcher, p, true})
--- a/gatherer/query_test.go
+++ b/gatherer/query_test.go
@@ -44,7 +44,7 @@
 	if change != nil {
 		change(b, &plan)
 	}
-	b.q = NewQuery(plan, Seams{
+	b.q = NewQuery(plan, Hooks{
 		Pick: func(_ time.Time, shard int32, tried []int32) (int32, bool) {
 			for r := range int32(replicas) {
 				if s := shard*replicas + r; !contains(tried, s) {
@@ -171,7 +171,7 @@
 func TestStragglerFallsBackOnTheRetryBudget(t *testing.T) {
 	b := newBench(2, 0, nil)
 	var asked []Purpose
-	b.q.seams.Spend = func(_ time.Time, _ int32, p Purpose) bool {
+	b.q.hooks.Spend = func(_ time.Time, _ int32, p Purpose) bool {
 		asked = append(asked, p)
 		return p == Probe
 	}
--- a/limiter/share.go
+++ b/limiter/share.go
@@ -7,8 +7,8 @@
 	Holder bool
 }
 
-// Contender is a VM that may hold connections to a searcher.
-type Contender struct {
+// Candidate is a VM that may hold connections to a searcher.
+type Candidate struct {
 	// Near says that the VM is in the searcher's region.
 	Near bool
 	// Rank counts the VMs that come before this one: near ones, or far ones that chose the same searcher.
@@ -31,7 +31,7 @@
 const nearPart = 0.6
 
 // ShareOfThin divides the connections of a searcher whose service has none in the region of some VMs, the remote ones; far counts the others outside its region. Nearly all connections are used, for the few searchers left must carry the whole load. Without remote VMs, or where the connections do not go round, there are no such shares.
-func ShareOfThin(connections, near, far, remote int, c Contender) Share {
+func ShareOfThin(connections, near, far, remote int, c Candidate) Share {
 	if remote <= 0 {
 		return Share{}
 	}
@@ -49,7 +49,7 @@
 }
 
 // ShareOf divides the connections of a searcher over the fleet so that those of two incarnations of it fit, for after a loss of power the searcher still counts those from before. VMs of its own region get twice as many as others. Where they do not go round, near VMs come first; settled far ones share what two incarnations of the near leave. Any other opens one for as long as it is in use.
-func ShareOf(connections, near, far int, c Contender) Share {
+func ShareOf(connections, near, far int, c Candidate) Share {
 	near, far = max(near, 0), max(far, 0)
 	total := float64(connections) * RestartHeadroom
 	if unit := total / max(1, nearWeight*float64(near)+float64(far)); unit >= 1 {
--- a/limiter/share_test.go
+++ b/limiter/share_test.go
@@ -15,12 +15,12 @@
 		held := func(settled bool) int {
 			n := 0
 			for rank := range near {
-				if s := ShareOf(connections, near, far, Contender{Near: true, Chose: true, Rank: rank, Settled: settled}); s.Holder {
+				if s := ShareOf(connections, near, far, Candidate{Near: true, Chose: true, Rank: rank, Settled: settled}); s.Holder {
 					n += s.Limit
 				}
 			}
 			for rank := range far {
-				if s := ShareOf(connections, near, far, Contender{Chose: true, Rank: rank, Settled: settled}); s.Holder {
+				if s := ShareOf(connections, near, far, Candidate{Chose: true, Rank: rank, Settled: settled}); s.Holder {
 					n += s.Limit
 				}
 			}
@@ -33,21 +33,21 @@
 }
 
 func TestNearVMsComeFirst(t *testing.T) {
-	if s := ShareOf(26, 3, 5, Contender{Near: true}); s.Limit != 2 || !s.Holder {
+	if s := ShareOf(26, 3, 5, Candidate{Near: true}); s.Limit != 2 || !s.Holder {
 		t.Errorf("one of 3 near VMs of 8: %+v", s)
 	}
-	if s := ShareOf(26, 3, 5, Contender{}); s.Limit != 1 || !s.Holder {
+	if s := ShareOf(26, 3, 5, Candidate{}); s.Limit != 1 || !s.Holder {
 		t.Errorf("one of 5 far VMs of 8: %+v", s)
 	}
 	tests := []struct {
 		name   string
-		vm     Contender
+		vm     Candidate
 		holder bool
 	}{
-		{"the last of 39 far VMs", Contender{Rank: 38, Chose: true, Settled: true}, false},
-		{"a settled far VM for which two incarnations of the near leave room", Contender{Rank: 15, Chose: true, Settled: true}, true},
-		{"a far VM that has just started", Contender{Rank: 0, Chose: true}, false},
-		{"a far VM that chose another searcher", Contender{Rank: 0, Settled: true}, false},
+		{"the last of 39 far VMs", Candidate{Rank: 38, Chose: true, Settled: true}, false},
+		{"a settled far VM for which two incarnations of the near leave room", Candidate{Rank: 15, Chose: true, Settled: true}, true},
+		{"a far VM that has just started", Candidate{Rank: 0, Chose: true}, false},
+		{"a far VM that chose another searcher", Candidate{Rank: 0, Settled: true}, false},
 	}
 	for _, tt := range tests {
 		if s := ShareOf(62, 20, 39, tt.vm); s.Holder != tt.holder {
@@ -63,9 +63,9 @@
 		near := rapid.IntRange(0, 300).Draw(t, "near VMs")
 		far := rapid.IntRange(0, 300).Draw(t, "far VMs")
 		remote := rapid.IntRange(1, 300).Draw(t, "remote VMs")
-		n := ShareOfThin(connections, near, far, remote, Contender{Near: true})
-		f := ShareOfThin(connections, near, far, remote, Contender{})
-		r := ShareOfThin(connections, near, far, remote, Contender{Remote: true})
+		n := ShareOfThin(connections, near, far, remote, Candidate{Near: true})
+		f := ShareOfThin(connections, near, far, remote, Candidate{})
+		r := ShareOfThin(connections, near, far, remote, Candidate{Remote: true})
 		if (n.Limit == 0) != (r.Limit == 0) || (n.Limit == 0) != (f.Limit == 0) {
 			t.Fatalf("some VMs take shares of a thin service, others do not: %+v %+v %+v", n, f, r)
 		}
@@ -84,11 +84,11 @@
 		occupied = 35e-3 // seconds
 		rate     = 32.0  // a second
 	)
-	s := ShareOfThin(26, 3, 0, 5, Contender{Remote: true})
+	s := ShareOfThin(26, 3, 0, 5, Candidate{Remote: true})
 	if carried := float64(s.Limit) / occupied; carried < 2*rate {
 		t.Errorf("%d connections carry %.0f requests a second, %.0f are sent: no room for a queue", s.Limit, carried, rate)
 	}
-	if s := ShareOfThin(26, 3, 5, 0, Contender{}); s.Limit != 0 {
+	if s := ShareOfThin(26, 3, 5, 0, Candidate{}); s.Limit != 0 {
 		t.Errorf("a service with searchers in all regions is not thin: %+v", s)
 	}
 }
--- a/planner/owners.go
+++ b/planner/owners.go
@@ -12,7 +12,7 @@
 	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
-// BucketServices is how many neighbouring services share their relays.
+// BucketServices is how many adjacent services share their relays.
 const BucketServices = 16
 
 // BucketOf returns the group of services that share their relays: the name without its number, and the number's block.
--- a/relayer/relayed.go
+++ b/relayer/relayed.go
@@ -56,7 +56,7 @@
 	for i, p := range r.parts {
 		plan.Shards[i] = gatherer.Shard{Name: partName(i), Documents: documents(p.snapshot, nil)}
 	}
-	r.query = gatherer.NewQuery(plan, gatherer.Seams{
+	r.query = gatherer.NewQuery(plan, gatherer.Hooks{
 		Pick:       r.pick,
 		Spend:      func(_ time.Time, _ int32, p gatherer.Purpose) bool { return p != gatherer.Hedge || r.hedges.Spend() },
 		HedgeAfter: func(int32) time.Duration { return max(MinRelayHedge, s.latency.HedgeDelay(s.now(), RelayQuantile)) },
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -45,7 +45,7 @@
 		}
 	}
 	r.now = t.Plan.At.Time()
-	r.query = gatherer.NewQuery(r.plan(), gatherer.Seams{
+	r.query = gatherer.NewQuery(r.plan(), gatherer.Hooks{
 		Pick: r.pick, Spend: r.spend, Hold: r.hold, Matches: r.matches,
 		HedgeAfter: func(shard int32) time.Duration { return t.Plan.Plan.Shards[shard].Hedge.Duration },
 	})
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -23,7 +23,7 @@
 	DrainMargin         = 600 * time.Millisecond
 )
 
-// Bounds of what a VM asks of its neighbours.
+// Bounds of what a VM asks of its peers.
 const (
 	JoinTimeout    = time.Second
 	SeedsTimeout   = 2 * time.Second
--- a/runner/neighbours.go
+++ b/runner/members.go
@@ -15,19 +15,19 @@
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
-// crowd is the part of the membership that hot paths read.
-type crowd struct {
+// membership is what hot paths read of the members.
+type membership struct {
 	alive  int
 	live   []gossiper.Member
 	domain []modeler.VMName
 	relays []gossiper.Member
 }
 
-// refreshCrowd is serialized, so that a later membership is never replaced by an earlier one.
-func (v *VM) refreshCrowd() {
-	v.crowdMu.Lock()
-	defer v.crowdMu.Unlock()
-	c := &crowd{}
+// refreshMembership is serialized, so that a later membership is never replaced by an earlier one.
+func (v *VM) refreshMembership() {
+	v.membershipMu.Lock()
+	defer v.membershipMu.Unlock()
+	c := &membership{}
 	for _, m := range v.gossip.Members() {
 		if m.State > gossiper.Suspect {
 			continue
@@ -41,7 +41,7 @@
 			c.relays = append(c.relays, m)
 		}
 	}
-	v.crowd.Store(c)
+	v.membership.Store(c)
 	v.shares.outdate()
 	v.spread.SetMembers(c.relays)
 }
@@ -52,11 +52,11 @@
 	if l := v.listing.Load(); l != nil {
 		listed = len(l.VMs)
 	}
-	return max(1, listed, v.crowd.Load().alive)
+	return max(1, listed, v.membership.Load().alive)
 }
 
 func (v *VM) isReader() bool {
-	return configurer.IsReader(v.cfg.Name, v.cfg.FailureDomain, v.crowd.Load().domain)
+	return configurer.IsReader(v.cfg.Name, v.cfg.FailureDomain, v.membership.Load().domain)
 }
 
 // join asks the seeds for the members, the news and the configuration before the VM serves.
@@ -125,10 +125,10 @@
 func (v *VM) synchronize(ctx context.Context) error {
 	for ctx.Err() == nil {
 		period := gossiper.SyncPeriod
-		if fleet := v.fleet(); (fleet-v.crowd.Load().alive)*MissingShare >= fleet {
+		if fleet := v.fleet(); (fleet-v.membership.Load().alive)*MissingShare >= fleet {
 			period = gossiper.Period
 		}
-		if v.crowd.Load().alive <= 1 {
+		if v.membership.Load().alive <= 1 {
 			period = LonelyPeriod
 		}
 		spawner.Sleep(ctx, period/2+rand.N(period/2))
@@ -175,7 +175,7 @@
 	if m.State >= gossiper.Dead {
 		v.relays.Forget(m.Address)
 	}
-	v.refreshCrowd()
+	v.refreshMembership()
 	if v.cfg.Routing == nil {
 		v.dialer.Rebudget()
 	}
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -49,7 +49,7 @@
 	open, _ := v.dialer.Open()
 	return server.Status{
 		Name: v.cfg.Name, FailureDomain: string(v.cfg.FailureDomain), Incarnation: uint64(v.incarnation), Version: Version,
-		Since: v.started, Draining: v.draining.Load(), Revision: v.store.Head(), Members: v.crowd.Load().alive,
+		Since: v.started, Draining: v.draining.Load(), Revision: v.store.Head(), Members: v.membership.Load().alive,
 		Underway: underway, Limit: limit, Connections: open, Tickets: v.home.Len(), PlatformCalls: v.calls.Load(),
 		Gossip: v.gossip.Counters(),
 	}
--- a/runner/readers.go
+++ b/runner/readers.go
@@ -64,7 +64,7 @@
 	if !v.isSeed() && time.Since(v.started) < LearnPeriod {
 		return false // the members are not all known: too many VMs would take themselves for readers
 	}
-	return configurer.IsStoreReader(v.cfg.Name, v.readers.able(v.crowd.Load().live, now))
+	return configurer.IsStoreReader(v.cfg.Name, v.readers.able(v.membership.Load().live, now))
 }
 
 // tellStoreLost lets other VMs read in place of this one.
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -85,7 +85,7 @@
 // sharers returns how many VMs are taken to share the fleet's allowances: many, as long as the members may not all be known.
 func (v *VM) sharers() int {
 	n := max(v.fleet(), v.leastFleet())
-	if time.Since(v.started) < LearnPeriod || v.crowd.Load().alive <= 1 {
+	if time.Since(v.started) < LearnPeriod || v.membership.Load().alive <= 1 {
 		return max(n, UnknownFleet)
 	}
 	return n
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -15,7 +15,7 @@
 type shares struct {
 	mu       sync.Mutex
 	of       map[netip.AddrPort]limiter.Share
-	fleet    []neighbour
+	fleet    []peer
 	outdated bool
 }
 
@@ -60,9 +60,9 @@
 	s := &view.Searchers[n]
 	return v.shares.get(s.Address, func() limiter.Share {
 		if v.shares.fleet == nil {
-			v.shares.fleet = v.crowd.Load().neighbours(v.cfg.Routing.Regions)
+			v.shares.fleet = v.membership.Load().peers(v.cfg.Routing.Regions)
 		}
-		near, far, remote, c := v.contend(view, n, v.shares.fleet)
+		near, far, remote, c := v.candidacy(view, n, v.shares.fleet)
 		unknown := max(0, v.sharers()-near-far)
 		connections := view.Services[s.Service].Contract.Connections
 		if share := limiter.ShareOfThin(connections, near, far-remote+unknown, remote, c); share.Limit > 0 {
@@ -72,26 +72,26 @@
 	})
 }
 
-// neighbour is a live VM as far as shares depend on it.
-type neighbour struct {
+// peer is a live VM as far as shares depend on it.
+type peer struct {
 	key    planner.Key
 	region string
 }
 
-// neighbours returns the live VMs, this one among them.
-func (c *crowd) neighbours(regions map[modeler.FailureDomain]string) []neighbour {
-	out := make([]neighbour, len(c.live))
+// peers returns the live VMs, this one among them.
+func (c *membership) peers(regions map[modeler.FailureDomain]string) []peer {
+	out := make([]peer, len(c.live))
 	for i := range c.live {
-		out[i] = neighbour{planner.KeyOf(string(c.live[i].Name)), regions[c.live[i].Domain]}
+		out[i] = peer{planner.KeyOf(string(c.live[i].Name)), regions[c.live[i].Domain]}
 	}
 	return out
 }
 
-// contend counts the VMs near a searcher and far from it, those of the far ones that have no searcher of its service in their region, and says where this VM comes among those that may hold connections. Of the far searchers of a service each VM chooses one: that is enough to send a hedge to without opening a connection first.
-func (v *VM) contend(view *planner.View, n int32, fleet []neighbour) (near, far, remote int, c limiter.Contender) {
-	self := neighbour{planner.KeyOf(string(v.cfg.Name)), v.cfg.Routing.Regions[v.cfg.FailureDomain]}
-	all := rivalsOf(view, view.Searchers[n].Service, v.cfg.Routing.Regions)
-	s := &all[slices.IndexFunc(all, func(r rival) bool { return r.searcher == n })]
+// candidacy counts the VMs near a searcher and far from it, those of the far ones that have no searcher of its service in their region, and says where this VM comes among those that may hold connections. Of the far searchers of a service each VM chooses one: that is enough to send a hedge to without opening a connection first.
+func (v *VM) candidacy(view *planner.View, n int32, fleet []peer) (near, far, remote int, c limiter.Candidate) {
+	self := peer{planner.KeyOf(string(v.cfg.Name)), v.cfg.Routing.Regions[v.cfg.FailureDomain]}
+	all := replicasOf(view, view.Searchers[n].Service, v.cfg.Routing.Regions)
+	s := &all[slices.IndexFunc(all, func(r replica) bool { return r.searcher == n })]
 	c.Near = s.region == self.region
 	bare := bareRegions(all, v.cfg.Routing.Regions)
 	c.Remote = slices.Contains(bare, self.region)
@@ -117,10 +117,10 @@
 }
 
 // bareRegions returns the regions that have none of the searchers.
-func bareRegions(all []rival, regions map[modeler.FailureDomain]string) []string {
+func bareRegions(all []replica, regions map[modeler.FailureDomain]string) []string {
 	var bare []string
 	for _, region := range regions {
-		has := slices.ContainsFunc(all, func(r rival) bool { return r.region == region })
+		has := slices.ContainsFunc(all, func(r replica) bool { return r.region == region })
 		if !has && !slices.Contains(bare, region) {
 			bare = append(bare, region)
 		}
@@ -128,25 +128,25 @@
 	return bare
 }
 
-// rival is a searcher of a service as far as the choice among them depends on it.
-type rival struct {
+// replica is a searcher of a service as far as the choice among them depends on it.
+type replica struct {
 	searcher int32
 	key      planner.Key
 	region   string
 }
 
-// rivalsOf returns the searchers of a service.
-func rivalsOf(view *planner.View, service int32, regions map[modeler.FailureDomain]string) []rival {
-	out := make([]rival, len(view.Services[service].Searchers))
+// replicasOf returns the searchers of a service.
+func replicasOf(view *planner.View, service int32, regions map[modeler.FailureDomain]string) []replica {
+	out := make([]replica, len(view.Services[service].Searchers))
 	for i, n := range view.Services[service].Searchers {
 		s := &view.Searchers[n]
-		out[i] = rival{n, planner.KeyOf(string(s.Name)), regions[s.FailureDomain]}
+		out[i] = replica{n, planner.KeyOf(string(s.Name)), regions[s.FailureDomain]}
 	}
 	return out
 }
 
 // choice returns the searcher outside the VM's region that the VM chooses by rendezvous hash, or -1: the VMs spread over the searchers, and few choose anew when one comes or goes.
-func choice(all []rival, vm *neighbour) int32 {
+func choice(all []replica, vm *peer) int32 {
 	best, least := int32(-1), uint64(0)
 	for i := range all {
 		if all[i].region == vm.region {
--- a/runner/shares_test.go
+++ b/runner/shares_test.go
@@ -34,7 +34,7 @@
 // fleetVMs returns settled VMs spread over the regions that all know each other.
 func fleetVMs(n int) []*VM {
 	domains := []modeler.FailureDomain{"a", "b", "c"}
-	all := &crowd{alive: n}
+	all := &membership{alive: n}
 	for i := range n {
 		all.live = append(all.live, gossiper.Member{Name: modeler.VMName(fmt.Sprintf("entry-%d", i)), Domain: domains[i%len(domains)]})
 	}
@@ -42,7 +42,7 @@
 	for i := range vms {
 		cfg := Settings{Name: all.live[i].Name, FailureDomain: all.live[i].Domain, Routing: &Routing{Regions: testRegions}}
 		vms[i] = &VM{cfg: cfg, started: time.Now().Add(-time.Minute)}
-		vms[i].crowd.Store(all)
+		vms[i].membership.Store(all)
 	}
 	return vms
 }
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -77,21 +77,21 @@
 	orderer    *orderer.Orderer
 	metrics    metrics.Registry
 
-	building  func()
-	viewMu    sync.Mutex
-	crowdMu   sync.Mutex
-	view      atomic.Pointer[planner.View]
-	crowd     atomic.Pointer[crowd]
-	peerSeeds atomic.Pointer[[]netip.AddrPort]
-	listing   atomic.Pointer[modeler.Listing]
-	draining  atomic.Bool
-	idle      server.IdleConns
-	readers   readers
-	shares    shares
-	calls     atomic.Uint64
-	drain     chan struct{}
-	pulls     chan gossiper.Member
-	woken     chan time.Duration
+	building     func()
+	viewMu       sync.Mutex
+	membershipMu sync.Mutex
+	view         atomic.Pointer[planner.View]
+	membership   atomic.Pointer[membership]
+	peerSeeds    atomic.Pointer[[]netip.AddrPort]
+	listing      atomic.Pointer[modeler.Listing]
+	draining     atomic.Bool
+	idle         server.IdleConns
+	readers      readers
+	shares       shares
+	calls        atomic.Uint64
+	drain        chan struct{}
+	pulls        chan gossiper.Member
+	woken        chan time.Duration
 }
 
 // Option changes a VM under construction.
@@ -196,7 +196,7 @@
 	})
 	v.relays = relayer.NewClient(local, []byte(v.cfg.Keys[0]))
 	v.spread = relayer.NewSpreader(v.scatterer, v.relays, v.cfg.Name, v.cfg.RelayWidth)
-	v.refreshCrowd()
+	v.refreshMembership()
 	v.home = ticketer.NewHome(v.incarnation)
 	if v.mechanisms.Tickets != nil {
 		v.home = v.mechanisms.Tickets(v.home)
--- a/scatterer/constants.go
+++ b/scatterer/constants.go
@@ -4,14 +4,14 @@
 
 // Bounds of one query's run.
 const (
-	MaxHits      = 1000
-	CheckTimeout = 300 * time.Millisecond
-	JudgeTimeout = time.Second
-	RecheckAfter = 50 * time.Millisecond
-	Bystanders   = 3
-	StallLimit   = 30 * time.Millisecond
-	StallFactor  = 2.5
-	PartLinger   = 300 * time.Millisecond
-	SingleLinger = 20 * time.Millisecond
-	eventSlack   = 16
+	MaxHits       = 1000
+	CheckTimeout  = 300 * time.Millisecond
+	JudgeTimeout  = time.Second
+	RecheckAfter  = 50 * time.Millisecond
+	ControlsAsked = 3
+	StallLimit    = 30 * time.Millisecond
+	StallFactor   = 2.5
+	PartLinger    = 300 * time.Millisecond
+	SingleLinger  = 20 * time.Millisecond
+	eventSlack    = 16
 )
--- a/scatterer/judge.go
+++ b/scatterer/judge.go
@@ -9,7 +9,7 @@
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
-// judgement is a verdict with the losses that decided it, by what the bystanders of their failure domains are.
+// judgement is a verdict with the losses that decided it, by what the control searchers of their failure domains are.
 type judgement struct {
 	verdict gatherer.Verdict
 	lost    int
@@ -17,9 +17,9 @@
 	inDead  int
 }
 
-// judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which bystanders are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if the bystanders are dead, and undecided if they do not answer in time.
-func (s *Scatterer) judge(ctx context.Context, v *planner.View, lost []int32, bystander func(int32) bool) judgement {
-	first := s.judgeOnce(ctx, v, lost, bystander)
+// judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which control searchers are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if the control searchers are dead, and undecided if they do not answer in time.
+func (s *Scatterer) judge(ctx context.Context, v *planner.View, lost []int32, isControl func(int32) bool) judgement {
+	first := s.judgeOnce(ctx, v, lost, isControl)
 	if first.verdict != gatherer.Poisonous {
 		return first
 	}
@@ -28,17 +28,17 @@
 		first.verdict = gatherer.Undecided
 		return first
 	}
-	return s.judgeOnce(ctx, v, lost, bystander)
+	return s.judgeOnce(ctx, v, lost, isControl)
 }
 
-func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, bystander func(int32) bool) judgement {
+func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, isControl func(int32) bool) judgement {
 	losses := map[int32]int{}
 	for _, r := range lost {
 		losses[v.Searchers[r].Domain]++
 	}
 	j := judgement{lost: len(lost)}
 	for domain, n := range losses {
-		switch s.domain(ctx, v, domain, bystander) {
+		switch s.domain(ctx, v, domain, isControl) {
 		case dialer.Alive:
 			j.inLive += n
 		case dialer.Dead:
@@ -54,14 +54,14 @@
 	return j
 }
 
-// domain asks a few bystanders of a failure domain, and returns what most of them are.
-func (s *Scatterer) domain(ctx context.Context, v *planner.View, domain int32, bystander func(int32) bool) dialer.Liveness {
+// domain asks a few control searchers of a failure domain, and returns what most of them are.
+func (s *Scatterer) domain(ctx context.Context, v *planner.View, domain int32, isControl func(int32) bool) dialer.Liveness {
 	count := map[dialer.Liveness]int{}
 	asked := 0
 	offset := s.random(len(v.Searchers))
 	for i := range v.Searchers {
 		n := int32((i + offset) % len(v.Searchers))
-		if asked == Bystanders || v.Searchers[n].Domain != domain || !bystander(n) {
+		if asked == ControlsAsked || v.Searchers[n].Domain != domain || !isControl(n) {
 			continue
 		}
 		asked++
@@ -87,9 +87,9 @@
 }
 
 // judgeForward judges the losses of a request on a route, where answers are also lost without a crash.
-func (s *Scatterer) judgeForward(ctx context.Context, v *planner.View, lost []int32, bystander func(int32) bool) judgement {
+func (s *Scatterer) judgeForward(ctx context.Context, v *planner.View, lost []int32, isControl func(int32) bool) judgement {
 	if s.crashes(ctx, v, lost) < gatherer.PoisonLosses {
 		return judgement{verdict: gatherer.Innocent, lost: len(lost)}
 	}
-	return s.judge(ctx, v, lost, bystander)
+	return s.judge(ctx, v, lost, isControl)
 }
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -79,7 +79,7 @@
 	r.leaveOut(&plan)
 	r.plan = plan
 	r.answered = make([]bool, len(plan.Shards))
-	r.query = gatherer.NewQuery(plan, gatherer.Seams{
+	r.query = gatherer.NewQuery(plan, gatherer.Hooks{
 		Pick:       r.picker.Pick,
 		Spend:      r.spend,
 		HedgeAfter: r.hedgeAfter,
--- a/scatterer/suspect.go
+++ b/scatterer/suspect.go
@@ -12,16 +12,16 @@
 	"github.com/pistachiogap/pistachiogap/recorder"
 )
 
-// check asks bystanders whether the losses are the request's own doing.
+// check asks control searchers whether the losses are the request's own doing.
 func (r *run) check(ctx context.Context) {
 	lost := slices.Clone(r.query.Lost())
-	bystander := r.bystanders()
+	isControl := r.controls()
 	go func() {
 		judge := r.s.judge
 		if r.req.Forward != nil {
 			judge = r.s.judgeForward
 		}
-		j := judge(ctx, r.req.View, lost, bystander)
+		j := judge(ctx, r.req.View, lost, isControl)
 		r.logJudgement(j)
 		select {
 		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: j.verdict}}:
@@ -30,8 +30,8 @@
 	}()
 }
 
-// bystanders returns which searchers may be asked: those of the services of this run that it never reached. Searchers of other services may be reached by another relay's part of the same query.
-func (r *run) bystanders() func(int32) bool {
+// controls returns which searchers may be asked: those of the services of this run that it never reached. Searchers of other services may be reached by another relay's part of the same query.
+func (r *run) controls() func(int32) bool {
 	reached := maps.Clone(r.reached)
 	services := map[int32]bool{}
 	for _, h := range r.req.Snapshot.Shards {
@@ -52,7 +52,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
 	defer cancel()
-	j := r.s.judge(ctx, r.req.View, lost, r.bystanders())
+	j := r.s.judge(ctx, r.req.View, lost, r.controls())
 	r.logJudgement(j)
 	if j.verdict == gatherer.Poisonous {
 		r.quarantine()
