A panic on one message costs its own request, not the process

Cause: attempts, the judgement of losses and the reading of answers ran in goroutines without a recover, so that one answer that made a decoder panic would have ended the process. A packet or a pulled value that panicked would have ended the gossip or the pulls, and with them the VM. A request that panicked kept its place under the limit. Change: spawner.Recover logs the panic with its stack and makes it an error: of the attempt (its connection is closed), the packet (dropped and counted), the pull, the step of the follower. Places are given back.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // conn is one HTTP/1.1 connection to a searcher that carries one request at a time.
@@ -75,6 +77,7 @@
 }
 
 func (c *conn) transfer(req *fasthttp.Request, res *fasthttp.Response, most int) (silent bool, err error) {
+	defer spawner.Recover("exchange", &err)
 	if err := req.Write(c.w); err != nil {
 		return true, err
 	}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/parser"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // Dialer holds the connections of one VM to all searchers.
@@ -135,8 +136,8 @@
 	if silent, err := c.exchange(ctx, req, res, call.Linger, call.mostBytes()); err != nil {
 		return Reply{Fault: d.failed(ctx, p, c, sent, silent), Err: err}
 	}
-	r := d.wire.Read(res, &call)
-	if r.Fault == gatherer.FaultCrossed || c.leftOver() {
+	r := d.read(res, &call)
+	if r.Fault == gatherer.FaultCrossed || r.Err != nil || c.leftOver() {
 		p.retire(c, false, time.Time{})
 	} else {
 		d.give(p, c, res)
@@ -147,6 +148,18 @@
 	return r
 }
 
+// read takes an answer apart; what makes the wire panic is no answer, and its connection is given up.
+func (d *Dialer) read(res *fasthttp.Response, call *Call) (r Reply) {
+	var err error
+	defer func() {
+		if err != nil {
+			r = Reply{Fault: gatherer.FaultCorrupt, Err: err}
+		}
+	}()
+	defer spawner.Recover("answer", &err)
+	return d.wire.Read(res, call)
+}
+
 // give returns a connection to its pool, unless the searcher closes it.
 func (d *Dialer) give(p *pool, c *conn, res *fasthttp.Response) {
 	if res.ConnectionClose() {
--- a/gossiper/gossip.go
+++ b/gossiper/gossip.go
@@ -81,31 +81,42 @@
 	}
 }
 
+// take handles one packet; one that cannot be decoded, or makes the node panic, is dropped and counted.
 func (g *Gossip) take(b []byte) {
-	p, err := Decode(g.keys, b)
+	err := g.handle(b)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.counters.PacketsIn++
 	g.counters.BytesIn += uint64(len(b))
 	if err != nil {
 		g.counters.Dropped++
 	}
-	g.mu.Unlock()
+}
+
+func (g *Gossip) handle(b []byte) (err error) {
+	defer spawner.Recover("packet", &err)
+	p, err := Decode(g.keys, b)
 	if err != nil {
-		return
+		return err
 	}
 	g.Do(func(n *Node, now time.Time, out []Action) []Action { return n.Receive(now, p, out) })
+	return nil
 }
 
 // Do runs f on the node and then does what it asks for.
 func (g *Gossip) Do(f func(n *Node, now time.Time, out []Action) []Action) {
-	g.mu.Lock()
-	actions := f(g.node, g.now(), nil)
-	g.mu.Unlock()
+	actions := g.decide(f)
 	for i := range actions {
 		g.act(&actions[i])
 	}
 }
 
+func (g *Gossip) decide(f func(n *Node, now time.Time, out []Action) []Action) []Action {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return f(g.node, g.now(), nil)
+}
+
 func (g *Gossip) act(a *Action) {
 	switch a.Kind {
 	case ActionSend:
--- /dev/null
+++ b/gossiper/panic_test.go
@@ -0,0 +1,47 @@
+package gossiper
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/recorder"
+)
+
+// The load: a packet on which a handler panics, and one after it.
+func TestAPacketThatPanicsIsDropped(t *testing.T) {
+	key := [][]byte{[]byte("a-key-of-sixteen-bytes")}
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := 0
+	clock := recorder.NewClock(time.Now)
+	node := NewNode(Member{Name: "entry-1", Incarnation: 1, Version: 1}, clock, func(int) int { return 0 })
+	g := NewGossip(node, conn, key, Handlers{
+		Changed: func(Member) {}, Pull: func(Member) {}, Woke: func(time.Duration) {},
+		News: func(News) {
+			heard++
+			if heard == 1 {
+				panic("news that nobody thought of")
+			}
+		},
+	})
+	for i := range 2 {
+		p := &Packet{Kind: Rumor, From: modeler.VMName("entry-2"), Incarnation: 7, Sequence: uint64(i + 1), Stamp: clock.Now()}
+		p.News = []News{{Kind: NewsSuspect, Subject: uint64(i + 1), Until: time.Now().Add(time.Minute)}}
+		b, err := p.Encode(key[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.take(b)
+	}
+	if heard != 2 {
+		t.Errorf("%d news heard of two", heard)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_ = g.Run(ctx)
+}
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/planner"
 	"github.com/pistachiogap/pistachiogap/recorder"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 func (v *VM) askPull(m gossiper.Member) {
@@ -43,6 +44,8 @@
 }
 
 func (v *VM) pullFrom(ctx context.Context, a netip.AddrPort) {
+	var err error
+	defer spawner.Recover("pull", &err)
 	ctx, cancel := context.WithTimeout(ctx, PullTimeout)
 	defer cancel()
 	res, err := v.relays.Peer(a).Pull(ctx, &messenger.PullRequest{Since: uint64(v.store.Head())})
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiogap/pistachiogap/parser"
 	"github.com/pistachiogap/pistachiogap/planner"
 	"github.com/pistachiogap/pistachiogap/recorder"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // end is what the goroutine of one attempt reports.
@@ -222,11 +223,7 @@
 	searcher := &r.req.View.Searchers[a.Searcher]
 	start := r.s.now()
 	searcher.Belief.Begin(start)
-	reply := r.s.Dialer.Do(ctx, call)
-	e := end{reply: reply, event: gatherer.Event{Kind: gatherer.EventFault, Attempt: a.Attempt, Fault: reply.Fault}}
-	if reply.Fault == gatherer.FaultNone {
-		e = r.decode(a, reply)
-	}
+	e := r.exchange(ctx, a, call)
 	r.believe(ctx, a, &e, r.s.now().Sub(start))
 	if e.event.Fault == gatherer.FaultShed {
 		r.shed.Add(1)
@@ -237,6 +234,22 @@
 	}
 }
 
+// exchange sends one call and reads its answer; a panic on the way counts as an answer that cannot be read.
+func (r *run) exchange(ctx context.Context, a gatherer.Action, call dialer.Call) (e end) {
+	var err error
+	defer func() {
+		if err != nil {
+			e = end{reply: dialer.Reply{Err: err}, event: gatherer.Event{Kind: gatherer.EventFault, Attempt: a.Attempt, Fault: gatherer.FaultCorrupt}}
+		}
+	}()
+	defer spawner.Recover("attempt", &err)
+	reply := r.s.Dialer.Do(ctx, call)
+	if reply.Fault == gatherer.FaultNone {
+		return r.decode(a, reply)
+	}
+	return end{reply: reply, event: gatherer.Event{Kind: gatherer.EventFault, Attempt: a.Attempt, Fault: reply.Fault}}
+}
+
 func (r *run) decode(a gatherer.Action, reply dialer.Reply) end {
 	if r.req.Forward != nil {
 		return r.accept(a, reply)
--- a/scatterer/suspect.go
+++ b/scatterer/suspect.go
@@ -10,6 +10,7 @@
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/recorder"
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // check asks control searchers whether the losses are the request's own doing.
@@ -21,7 +22,12 @@
 		if r.req.Forward != nil {
 			judge = r.s.judgeForward
 		}
-		j := judge(ctx, r.req.View, lost, isControl)
+		j := judgement{lost: len(lost)}
+		var err error
+		func() {
+			defer spawner.Recover("judgement", &err)
+			j = judge(ctx, r.req.View, lost, isControl)
+		}()
 		r.logJudgement(j)
 		select {
 		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: j.verdict}}:
--- a/server/forward.go
+++ b/server/forward.go
@@ -194,8 +194,7 @@
 	if !admitter.Admit("", f.route.Priority == 0) {
 		return refuser.New(refuser.Overloaded, "this VM is at its limit")
 	}
-	res := s.Gather(r.Context(), s.request(r, f))
-	admitter.Release("")
+	res := s.gather(r, f, admitter)
 	admitter.Observe(time.Now(), res.Sent, s.Starved()+widely(res.Shed, res.Sent))
 	done.Result = res
 	if len(f.route.Shards) > 0 {
@@ -204,6 +203,12 @@
 	return s.writeSingle(w, f, &res, done)
 }
 
+// gather runs an admitted request and gives its place back, even if it panics.
+func (s *Forwards) gather(r *http.Request, f *forward, admitter *limiter.Admitter) scatterer.Result {
+	defer admitter.Release("")
+	return s.Gather(r.Context(), s.request(r, f))
+}
+
 // admitter returns what admits the request: searchers that refuse parts say nothing of those that serve single requests.
 func (s *Forwards) admitter(f *forward) *limiter.Admitter {
 	if len(f.route.Shards) > 0 {
--- /dev/null
+++ b/server/forward_panic_test.go
@@ -0,0 +1,45 @@
+package server
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
+	"github.com/pistachiogap/pistachiogap/planner"
+	"github.com/pistachiogap/pistachiogap/scatterer"
+)
+
+// The load: a request that panics while it runs. Its place under the limit is given back.
+func TestARequestThatPanicsGivesItsPlaceBack(t *testing.T) {
+	view := planner.NewView(1, "seoul-a", nil, []modeler.Configuration{{
+		Services: []modeler.Service{{Name: "portal"}},
+		Routes:   []modeler.Route{{Name: "r", Host: "desk.example", Prefix: "/", Timeout: modeler.Duration{Duration: time.Second}, Split: []modeler.Weighted{{Service: "portal", Weight: 1}}}},
+	}}, observer.NewObserver())
+	s := &Forwards{
+		Dialect:    Dialect{Incoming: func(http.Header) (Incoming, error) { return Incoming{ID: "x"}, nil }},
+		View:       func() *planner.View { return view },
+		Gather:     func(context.Context, scatterer.Request) scatterer.Result { panic("a request that nobody thought of") },
+		Gathered:   limiter.NewAdmitter(),
+		Single:     limiter.NewAdmitter(),
+		Starved:    func() int { return 0 },
+		Quarantine: observer.NewQuarantine(),
+		Draining:   func() bool { return false },
+		Done:       func(*Forwarded) {},
+	}
+	for range 3 {
+		func() {
+			defer func() { _ = recover() }()
+			r := httptest.NewRequest(http.MethodGet, "http://desk.example/x", http.NoBody)
+			r.RequestURI = "/x"
+			s.ServeHTTP(httptest.NewRecorder(), r)
+		}()
+	}
+	if _, underway := s.Single.Limit(); underway != 0 {
+		t.Errorf("%d places are still taken", underway)
+	}
+}
--- a/spawner/spawner.go
+++ b/spawner/spawner.go
@@ -40,10 +40,6 @@
 }
 
 func guarded(ctx context.Context, fn func(context.Context) error) (err error) {
-	defer func() {
-		if v := recover(); v != nil {
-			err = errors.Errorf("goroutine panicked: %v", v)
-		}
-	}()
+	defer Recover("goroutine", &err)
 	return fn(ctx)
 }
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -69,8 +69,9 @@
 	return ctx.Err()
 }
 
-// Step lists all values if it has to, or else waits for a change.
-func (f *Follower) Step(ctx context.Context) error {
+// Step lists all values if it has to, or else waits for a change; values that make it panic are an error.
+func (f *Follower) Step(ctx context.Context) (err error) {
+	defer spawner.Recover("store", &err)
 	f.cursor = max(f.cursor, f.Store.Head())
 	if f.Store.Head() == 0 {
 		return f.list(ctx)
