--- a/spawner/recover.go
+++ b/spawner/recover.go
@@ -10,7 +10,7 @@
 // maxStack bounds the stack that is logged of a panic, in bytes.
 const maxStack = 2 << 10
 
-// Recover, when deferred, turns a panic of its function into an error and logs where it happened, so that one message costs no more than its own request.
+// Recover turns a panic of the function that defers it into an error and logs where it happened, so that one message costs no more than its own request.
 func Recover(what string, err *error) {
 	v := recover()
 	if v == nil {
