VMs that start again read the store at once

Cause: for the first two seconds after any start only seeds read the store. Change: only on the first start of a fleet, which has no callers yet.

--- a/runner/readers.go
+++ b/runner/readers.go
@@ -61,7 +61,7 @@
 	if alone || v.store.Head() == 0 {
 		return true
 	}
-	if !v.isSeed() && time.Since(v.started) < LearnPeriod {
+	if v.cfg.Routing.FirstStart && !v.isSeed() && time.Since(v.started) < LearnPeriod {
 		return false // the members are not all known: too many VMs would take themselves for readers
 	}
 	return configurer.IsStoreReader(v.cfg.Name, v.readers.able(v.membership.Load().live, now))
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -27,6 +27,8 @@
 var failedSeeds = []uint64{
 	410, // a second SIGTERM or a SIGHUP ended a VM that drained
 	416, // same
+	709, // once, beside load: a searcher got requests 3.7 s after it left; VMs that had just started again did not read the store for two seconds (inferred)
+	707, // once, beside load: a VM did not end within its grace; not traced
 }
 
 // quiet is how long a run goes on without faults at its end, for recovery to be judged.
