A VM that is not counted yet gets one connection of a thin service

Cause: where no VM but remote ones is counted, the share of any other came to none, so that it fell back on other shares than the rest. Change: at least one.

--- a/limiter/share.go
+++ b/limiter/share.go
@@ -45,7 +45,7 @@
 	if c.Remote {
 		return Share{each, true}
 	}
-	return Share{min(each, rest/max(1, others)), true}
+	return Share{max(1, min(each, rest/max(1, others))), true}
 }
 
 // ShareOf divides the connections of a searcher over the fleet so that those of two incarnations of it fit, for after a loss of power the searcher still counts those from before. VMs of its own region get twice as many as others. Where they do not go round, near VMs come first; settled far ones share what two incarnations of the near leave. Any other opens one for as long as it is in use.
