--- a/commander/signals_test.go
+++ b/commander/signals_test.go
@@ -27,21 +27,23 @@
 // writeSettings writes settings of a VM on free ports.
 func writeSettings(t *testing.T) string {
 	t.Helper()
-	var ports []any
+	// An address of this process alone: no other one's outgoing connections take its ports.
+	host := fmt.Sprintf("127.102.%d.%d", byte(os.Getpid()>>8), byte(os.Getpid()))
+	var addrs []any
 	for range 4 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", host+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).AddrPort().Port())
+		addrs = append(addrs, l.Addr().String())
 	}
 	file := filepath.Join(t.TempDir(), "settings.jsonc")
 	text := fmt.Sprintf(`{
 		"name": "entry-1", "failure-domain": "north", "keys": ["a-key-of-sixteen-or-more"], "drain-delay": "300ms",
-		"listen": {"callers": "127.0.0.1:%d", "operators": "127.0.0.1:%d", "peers": "127.0.0.1:%d"},
-		"platform": "127.0.0.1:%d"
-	}`, ports...)
+		"listen": {"callers": %q, "operators": %q, "peers": %q},
+		"platform": %q
+	}`, addrs...)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
