A chunked answer without end stays within its limit

Cause: TestBytesWithoutEnd/chunks was red at times: the line end of each chunk is read into the buffer of the body, so a body at its limit of 256 KB needed two bytes more and its buffer was doubled to 512 KB, old and new held at once. Change: the read stops two bytes below the limit.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -87,7 +87,8 @@
 	if _, err := c.r.Peek(1); err != nil {
 		return true, err
 	}
-	return false, res.ReadLimitBody(c.r, most)
+	// The line end of a chunk is read into the buffer of the body, which doubles when it is full.
+	return false, res.ReadLimitBody(c.r, most-len("\r\n"))
 }
 
 // stale reports whether the other end closed the idle connection or sent something unasked.
--- a/dialer/endless_test.go
+++ b/dialer/endless_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/netip"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/pistachiogap/pistachiogap/gatherer"
 )
 
@@ -105,6 +109,37 @@
 	}
 }
 
+// A chunked answer without end is read into one buffer that never grows beyond the limit, whatever the size of its chunks.
+func TestChunksWithoutEndFitTheLimit(t *testing.T) {
+	for _, size := range []int{1, 100, 1024, 4096, 65536, MaxPartBytes - 1} {
+		t.Run(strconv.Itoa(size), func(t *testing.T) {
+			here, there := net.Pipe()
+			defer func() { _ = here.Close() }()
+			go func() {
+				defer func() { _ = there.Close() }()
+				_, _ = io.ReadFull(there, make([]byte, 1))
+				go func() { _, _ = io.Copy(io.Discard, there) }()
+				_, err := io.WriteString(there, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+				chunk := fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size))
+				for err == nil {
+					_, err = io.WriteString(there, chunk)
+				}
+			}()
+			req, res := fasthttp.AcquireRequest(), &fasthttp.Response{}
+			defer fasthttp.ReleaseRequest(req)
+			req.SetRequestURI("http://searcher/")
+			c := newConn(here)
+			c.acquire()
+			if _, err := c.transfer(req, res, MaxPartBytes); err == nil {
+				t.Fatal("an answer without end was taken as whole")
+			}
+			if n := cap(res.Body()); n > MaxPartBytes {
+				t.Errorf("its buffer has %d bytes, %d are allowed", n, MaxPartBytes)
+			}
+		})
+	}
+}
+
 // heapBytes returns the bytes of the heap that are in use.
 func heapBytes() uint64 {
 	runtime.GC()
