A crashing request through relays is judged where its part lay in one failure domain

Change: searchers of other services are asked where none of the own is left, and only that they live counts; the first attempts of a query never lie all in one domain.

--- a/planner/pick.go
+++ b/planner/pick.go
@@ -15,13 +15,34 @@
 	Index    modeler.IndexName
 	Snapshot *Snapshot
 	Random   func(n int) int
-	Usable   func(searcher int32) bool
 	Stall    time.Duration
 	Ready    func(searcher int32) bool
+	Spread   *Spread // nil if the first attempts may all lie in one failure domain
 }
 
 // Pick returns a replica of the shard that was not tried: the cheapest that is usable, else of those ejected, never one that drains.
 func (p *Picker) Pick(now time.Time, shard int32, tried []int32) (int32, bool) {
+	if p.Spread == nil || len(tried) > 0 {
+		return p.choose(now, shard, tried, nowhere)
+	}
+	r, ok := int32(0), false
+	if domain, avoid := p.Spread.avoids(); avoid {
+		r, ok = p.choose(now, shard, tried, domain)
+	}
+	if !ok {
+		r, ok = p.choose(now, shard, tried, nowhere)
+	}
+	if ok {
+		p.Spread.add(p.View.Searchers[r].Domain)
+	}
+	return r, ok
+}
+
+// nowhere is no failure domain.
+const nowhere = -1
+
+// choose picks a replica outside a failure domain.
+func (p *Picker) choose(now time.Time, shard int32, tried []int32, avoid int32) (int32, bool) {
 	service := p.Snapshot.Shards[shard].Service
 	if service < 0 {
 		return 0, false
@@ -30,7 +51,7 @@
 	fit, ejected := buf[:0], 0
 	all := p.View.Services[service].Searchers
 	for _, r := range all {
-		if p.open(now, r, tried) && !p.View.Searchers[r].Belief.Ejected(now) {
+		if p.open(now, r, tried, avoid) && !p.View.Searchers[r].Belief.Ejected(now) {
 			fit = append(fit, r)
 		}
 	}
@@ -41,7 +62,7 @@
 	if len(fit) == 0 || float64(ejected) > observer.MaxEjectedShare*float64(len(all)) {
 		fit = fit[:0]
 		for _, r := range all {
-			if p.open(now, r, tried) {
+			if p.open(now, r, tried, avoid) {
 				fit = append(fit, r)
 			}
 		}
@@ -49,8 +70,8 @@
 	return p.cheaper(now, fit, service)
 }
 
-func (p *Picker) open(now time.Time, r int32, tried []int32) bool {
-	if slices.Contains(tried, r) || (p.Usable != nil && !p.Usable(r)) {
+func (p *Picker) open(now time.Time, r int32, tried []int32, avoid int32) bool {
+	if slices.Contains(tried, r) || p.View.Searchers[r].Domain == avoid {
 		return false
 	}
 	b := p.View.Searchers[r].Belief
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -123,6 +123,52 @@
 	}
 }
 
+// The first attempts of a query never lie all in one failure domain, wherever the cheapest searchers are; where only one domain is left, they do.
+func TestFirstAttemptsSpreadOverFailureDomains(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		shards int
+		drain  bool
+		want   int
+	}{
+		{"many shards", 8, false, 2},
+		{"two shards", 2, false, 2},
+		{"one shard", 1, false, 1},
+		{"one domain is left", 4, true, 1},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			v, x, _ := view(tt.shards, tt.shards)
+			near := v.Searchers[0].Domain
+			for i := range v.Searchers {
+				s := &v.Searchers[i]
+				if s.Domain != near {
+					s.Link = time.Second
+				}
+				if tt.drain && s.Domain != near {
+					s.Belief.Drain(epoch)
+				}
+			}
+			for turn := range 50 {
+				p := Picker{
+					View: v, Index: "x", Snapshot: &x.Snapshots[1], Spread: NewSpread(tt.shards),
+					Random: func(n int) int { turn += 7; return turn * 7919 % n },
+				}
+				domains := map[int32]bool{}
+				for shard := range int32(tt.shards) {
+					r, ok := p.Pick(epoch, shard, nil)
+					if !ok {
+						t.Fatal("no replica was picked")
+					}
+					domains[v.Searchers[r].Domain] = true
+				}
+				if len(domains) < tt.want || (tt.drain && len(domains) > 1) {
+					t.Fatalf("picked in domains %v", domains)
+				}
+			}
+		})
+	}
+}
+
 func eject(v *View, r int) {
 	v.Searchers[r].Belief.Begin(epoch)
 	v.Searchers[r].Belief.Failed(epoch, true)
--- a/scatterer/constants.go
+++ b/scatterer/constants.go
@@ -9,6 +9,7 @@
 	JudgeTimeout  = time.Second
 	RecheckAfter  = 50 * time.Millisecond
 	ControlsAsked = 3
+	OthersAsked   = 5 // some of them may have been crashed by another part of the request
 	StallLimit    = 30 * time.Millisecond
 	StallFactor   = 2.5
 	PartLinger    = 300 * time.Millisecond
--- a/scatterer/judge.go
+++ b/scatterer/judge.go
@@ -18,8 +18,8 @@
 }
 
 // judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which control searchers are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if the control searchers are dead, and undecided if they do not answer in time.
-func (s *Scatterer) judge(ctx context.Context, v *planner.View, lost []int32, isControl func(int32) bool) judgement {
-	first := s.judgeOnce(ctx, v, lost, isControl)
+func (s *Scatterer) judge(ctx context.Context, v *planner.View, lost []int32, c controls) judgement {
+	first := s.judgeOnce(ctx, v, lost, c)
 	if first.verdict != gatherer.Poisonous {
 		return first
 	}
@@ -28,17 +28,17 @@
 		first.verdict = gatherer.Undecided
 		return first
 	}
-	return s.judgeOnce(ctx, v, lost, isControl)
+	return s.judgeOnce(ctx, v, lost, c)
 }
 
-func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, isControl func(int32) bool) judgement {
+func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, c controls) judgement {
 	losses := map[int32]int{}
 	for _, r := range lost {
 		losses[v.Searchers[r].Domain]++
 	}
 	j := judgement{lost: len(lost)}
 	for domain, n := range losses {
-		switch s.domain(ctx, v, domain, isControl) {
+		switch s.domain(ctx, v, domain, c) {
 		case dialer.Alive:
 			j.inLive += n
 		case dialer.Dead:
@@ -54,14 +54,32 @@
 	return j
 }
 
-// domain asks a few control searchers of a failure domain, and returns what most of them are.
-func (s *Scatterer) domain(ctx context.Context, v *planner.View, domain int32, isControl func(int32) bool) dialer.Liveness {
+// controls are the searchers whose state tells whether a failure domain is alive.
+type controls struct {
+	own   func(searcher int32) bool // of the services that were asked, and never reached by the request
+	other func(searcher int32) bool // of other services, which another part of the same request may have crashed
+}
+
+// domain returns what the control searchers of a failure domain are. Where the request has reached all of its services' searchers there, others are asked, and only that they are alive says something.
+func (s *Scatterer) domain(ctx context.Context, v *planner.View, domain int32, c controls) dialer.Liveness {
+	own, asked := s.majority(ctx, v, domain, ControlsAsked, c.own)
+	if asked > 0 {
+		return own
+	}
+	if other, _ := s.majority(ctx, v, domain, OthersAsked, c.other); other == dialer.Alive {
+		return dialer.Alive
+	}
+	return dialer.Unclear
+}
+
+// majority asks some searchers of a failure domain, and returns what most of them are and how many were asked.
+func (s *Scatterer) majority(ctx context.Context, v *planner.View, domain int32, most int, fit func(int32) bool) (dialer.Liveness, int) {
 	count := map[dialer.Liveness]int{}
 	asked := 0
 	offset := s.random(len(v.Searchers))
 	for i := range v.Searchers {
 		n := int32((i + offset) % len(v.Searchers))
-		if asked == ControlsAsked || v.Searchers[n].Domain != domain || !isControl(n) {
+		if asked == most || v.Searchers[n].Domain != domain || !fit(n) {
 			continue
 		}
 		asked++
@@ -69,10 +87,10 @@
 	}
 	for _, l := range []dialer.Liveness{dialer.Alive, dialer.Dead} {
 		if 2*count[l] > asked {
-			return l
+			return l, asked
 		}
 	}
-	return dialer.Unclear
+	return dialer.Unclear, asked
 }
 
 // crashes returns how many of the lost searchers refuse connections now; a searcher whose answer was lost on the way does not.
@@ -87,9 +105,9 @@
 }
 
 // judgeForward judges the losses of a request on a route, where answers are also lost without a crash.
-func (s *Scatterer) judgeForward(ctx context.Context, v *planner.View, lost []int32, isControl func(int32) bool) judgement {
+func (s *Scatterer) judgeForward(ctx context.Context, v *planner.View, lost []int32, c controls) judgement {
 	if s.crashes(ctx, v, lost) < gatherer.PoisonLosses {
 		return judgement{verdict: gatherer.Innocent, lost: len(lost)}
 	}
-	return s.judge(ctx, v, lost, isControl)
+	return s.judge(ctx, v, lost, c)
 }
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -69,7 +69,9 @@
 	r.hedges, r.retries = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, len(req.Snapshot.Shards))
 	plan := r.newPlan()
 	hold := s.hold
-	if req.Forward != nil {
+	if req.Forward == nil {
+		r.picker.Spread = planner.NewSpread(len(req.Snapshot.Shards))
+	} else {
 		r.picker.Stall = stallLimit(req.View, req.Snapshot)
 		r.picker.Ready = func(n int32) bool { return s.Dialer.HasIdle(req.View.Searchers[n].Address) }
 		r.forwardPlan(&plan)
--- a/scatterer/suspect.go
+++ b/scatterer/suspect.go
@@ -16,7 +16,7 @@
 // check asks control searchers whether the losses are the request's own doing.
 func (r *run) check(ctx context.Context) {
 	lost := slices.Clone(r.query.Lost())
-	isControl := r.controls()
+	c := r.controls()
 	go func() {
 		judge := r.s.judge
 		if r.req.Forward != nil {
@@ -26,7 +26,7 @@
 		var err error
 		func() {
 			defer spawner.Recover("judgement", &err)
-			j = judge(ctx, r.req.View, lost, isControl)
+			j = judge(ctx, r.req.View, lost, c)
 		}()
 		r.logJudgement(j)
 		select {
@@ -36,14 +36,18 @@
 	}()
 }
 
-// controls returns which searchers may be asked: those of the services of this run that it never reached. Searchers of other services may be reached by another relay's part of the same query.
-func (r *run) controls() func(int32) bool {
+// controls returns which searchers may be asked, none of which this run has reached.
+func (r *run) controls() controls {
 	reached := maps.Clone(r.reached)
 	services := map[int32]bool{}
 	for _, h := range r.req.Snapshot.Shards {
 		services[h.Service] = true
 	}
-	return func(n int32) bool { return services[r.req.View.Searchers[n].Service] && !reached[n] }
+	isOwn := func(n int32) bool { return services[r.req.View.Searchers[n].Service] }
+	return controls{
+		own:   func(n int32) bool { return isOwn(n) && !reached[n] },
+		other: func(n int32) bool { return !isOwn(n) },
+	}
 }
 
 // judgeLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
