A stop answers the requests in the accept queue and those just read

Change: a server that stops first accepts what waits in its queue, then lets connections with a request under way, or younger than half a second, end with 'Connection: close', and shuts down when none is left.

--- a/server/constants.go
+++ b/server/constants.go
@@ -23,6 +23,13 @@
 	RouteRetryAfter = 100 * time.Millisecond
 
 	UnconfiguredRetryAfter = time.Second
+
+	QueueWait  = 2 * time.Millisecond // without a new connection, until the accept queue counts as empty
+	QueueLimit = 100 * time.Millisecond
+
+	FirstRequestWait = 500 * time.Millisecond // on a new connection, while the server stops
+	DrainPoll        = 5 * time.Millisecond
+	ShutdownWait     = 100 * time.Millisecond
 )
 
 // The headers of the callers' protocol.
--- a/server/serve.go
+++ b/server/serve.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
 // NewHTTPServer returns a server with the bounds that every port of a VM has.
@@ -34,20 +36,39 @@
 	return s
 }
 
-// Serve runs a server until the context ends, then shuts it down within the grace; requests still open after it are cut.
+// Serve runs a server until the context ends, then answers what was sent before, in the accept queue too, and stops within the grace; requests still open after it are cut.
 func Serve(ctx context.Context, s *http.Server, l net.Listener, grace time.Duration) error {
-	down := make(chan error, 1)
+	conns := track(s)
+	closeListener := func() { _ = l.Close() }
+	if tcp, ok := l.(*net.TCPListener); ok {
+		q := &queueListener{TCPListener: tcp}
+		l = q
+		closeListener = func() { q.closeEmpty(time.Now().Add(min(QueueLimit, grace))) }
+	}
+	end := make(chan time.Time, 1)
 	stop := context.AfterFunc(ctx, func() {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
-		defer cancel()
-		down <- s.Shutdown(ctx)
+		end <- time.Now().Add(grace)
+		closeListener()
 	})
 	defer stop()
 	err := s.Serve(l)
 	if ctx.Err() == nil {
 		return err
 	}
-	if err := <-down; err != nil {
+	return drain(ctx, s, conns, <-end)
+}
+
+// drain lets the requests under way end until the time, and cuts those that are left. The server is not shut down before: it would close a connection whose request it has just read, without an answer.
+func drain(ctx context.Context, s *http.Server, conns *connStates, end time.Time) error {
+	s.SetKeepAlivesEnabled(false)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
+	defer cancel()
+	for conns.busy(time.Now()) && ctx.Err() == nil {
+		spawner.Sleep(ctx, DrainPoll)
+	}
+	ctx, cancel = context.WithTimeout(ctx, ShutdownWait)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
 		return s.Close()
 	}
 	return nil
