A stop does not close a kept connection whose request was handed on

Change: keep-alives stay on; each answer after the end says 'Connection: close'; the shutdown, which drops a request that crosses it before it is handed on, comes once no request is under way, and closes the connections that never carried one.

--- a/server/conns.go
+++ b/server/conns.go
@@ -52,3 +52,14 @@
 	}
 	return false
 }
+
+// closeUnused closes the connections on which no request was ever read.
+func (c *connStates) closeUnused() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, s := range c.conns {
+		if s.state == http.StateNew {
+			_ = conn.Close()
+		}
+	}
+}
--- a/server/constants.go
+++ b/server/constants.go
@@ -29,7 +29,6 @@
 
 	FirstRequestWait = 500 * time.Millisecond // on a new connection, while the server stops
 	DrainPoll        = 5 * time.Millisecond
-	ShutdownWait     = 100 * time.Millisecond
 )
 
 // The headers of the callers' protocol.
--- a/server/serve.go
+++ b/server/serve.go
@@ -39,6 +39,7 @@
 // Serve runs a server until the context ends, then answers what was sent before, in the accept queue too, and stops within the grace; requests still open after it are cut.
 func Serve(ctx context.Context, s *http.Server, l net.Listener, grace time.Duration) error {
 	conns := track(s)
+	s.Handler = toldToClose(ctx, s.Handler)
 	closeListener := func() { _ = l.Close() }
 	if tcp, ok := l.(*net.TCPListener); ok {
 		q := &queueListener{TCPListener: tcp}
@@ -58,16 +59,14 @@
 	return drain(ctx, s, conns, <-end)
 }
 
-// drain lets the requests under way end until the time, and cuts those that are left. The server is not shut down before: it would close a connection whose request it has just read, without an answer.
+// drain lets the requests under way end until the time, and cuts those that are left. The server is shut down only when none is: it closes a connection whose request it has just read, without an answer.
 func drain(ctx context.Context, s *http.Server, conns *connStates, end time.Time) error {
-	s.SetKeepAlivesEnabled(false)
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), end)
 	defer cancel()
 	for conns.busy(time.Now()) && ctx.Err() == nil {
 		spawner.Sleep(ctx, DrainPoll)
 	}
-	ctx, cancel = context.WithTimeout(ctx, ShutdownWait)
-	defer cancel()
+	s.RegisterOnShutdown(conns.closeUnused)
 	if err := s.Shutdown(ctx); err != nil {
 		return s.Close()
 	}
--- a/server/serve_test.go
+++ b/server/serve_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -96,6 +97,68 @@
 	}
 }
 
+// A request on a kept connection that comes while the server stops is either answered whole or never handled.
+func TestStopHandlesNothingThatItCuts(t *testing.T) {
+	for range 30 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var handled atomic.Int64
+		s := NewHTTPServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			handled.Add(1)
+			_, _ = io.WriteString(w, "served")
+		}))
+		ended := make(chan error, 1)
+		go func() { ended <- Serve(ctx, s, l, 2*time.Second) }()
+		const callers = 8
+		answered := make(chan int64, callers)
+		for range callers {
+			go func() { answered <- askUntilClosed(l.Addr().String()) }()
+		}
+		time.Sleep(5 * time.Millisecond)
+		cancel()
+		sum := int64(0)
+		for range callers {
+			sum += <-answered
+		}
+		if err := <-ended; err != nil {
+			t.Errorf("the server ended with: %v", err)
+		}
+		if n := handled.Load(); n != sum {
+			t.Fatalf("%d requests were handled, %d answered", n, sum)
+		}
+	}
+}
+
+// askUntilClosed sends one request after the other on one connection until it is closed, and returns how many were answered whole.
+func askUntilClosed(addr string) int64 {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return 0
+	}
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := int64(0); ; n++ {
+		if _, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: desk\r\n\r\n"); err != nil {
+			return n
+		}
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return n
+		}
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		if err != nil || string(body) != "served" {
+			return n
+		}
+		if res.Close {
+			return n + 1
+		}
+	}
+}
+
 // A stop ends though new connections never cease to come.
 func TestStopEndsWhileCallersGoOn(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
