Connections that a searcher resets are found before a request is sent on them

The reset comes a round trip after the connection opened, with the request already sent: 2,019 attempts in eight seconds were lost, may have run, took the budget of extra sends, and a query with two such shards ended as 502. Resets while connecting also ejected the searcher. Change: a searcher that resets new connections is remembered for two seconds, others are preferred to it unless a connection to it is open, and a new connection, then and for the first twelve seconds of a VM, is used once it has stood another round trip. What was not sent is asked elsewhere at no cost. Such resets no longer eject. Tests: TestRequestsAreNotSentOnConnectionsThatAreReset, TestOpenConnectionsOfASearcherAtItsLimitServe, TestNoRequestIsLostWhereResetsAreSuspected, TestPickAvoidsASearcherThatResetsNewConnections.

--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -10,6 +10,8 @@
 	IdleLimit       = 30 * time.Second
 	ProveAfter      = 500 * time.Millisecond
 	ShrinkPeriod    = 5 * time.Second
+	LimitMemory     = 2 * time.Second      // for which a reset of a new connection is remembered
+	LimitProbation  = 3 * time.Millisecond // until a new connection that is not reset is used
 	CloseNotice     = 100 * time.Millisecond
 	SilenceWindow   = 500 * time.Millisecond
 	SilentSearchers = 2
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -29,6 +29,7 @@
 	retired func(addr netip.AddrPort, detail string)
 	silence silence
 	wire    Wire
+	suspect func() bool
 }
 
 // Option changes a Dialer under construction.
@@ -48,6 +49,9 @@
 // WithWire sets how requests and answers look.
 func WithWire(w Wire) Option { return func(d *Dialer) { d.wire = w } }
 
+// WithSuspicion sets what tells that searchers may reset new connections though none has lately.
+func WithSuspicion(f func() bool) Option { return func(d *Dialer) { d.suspect = f } }
+
 // NewDialer makes a dialer whose connections leave from the local address.
 func NewDialer(local netip.Addr, options ...Option) *Dialer {
 	from := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0)), KeepAlive: -1, Control: DetectSilence}
@@ -57,6 +61,7 @@
 		budget:  func(netip.AddrPort) int { return 1 },
 		now:     time.Now,
 		retired: func(netip.AddrPort, string) {},
+		suspect: func() bool { return false },
 		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 			return from.DialContext(ctx, "tcp", addr.String())
 		},
@@ -109,6 +114,7 @@
 	Draining bool
 	Held     []modeler.SnapshotID
 	Late     bool
+	AtLimit  bool // the searcher reset the new connection, for others hold all that it allows
 	Err      error
 
 	Status      int
@@ -121,7 +127,7 @@
 	p := d.pool(call.Address)
 	c, err := p.take(ctx, d.now(), d.silence.trustedSince(), trustOf(call))
 	if err != nil {
-		return Reply{Fault: gatherer.FaultNotSent, Err: err}
+		return Reply{Fault: gatherer.FaultNotSent, AtLimit: errors.Is(err, errAtLimit), Err: err}
 	}
 	if !d.now().Before(call.Deadline) {
 		p.put(c, c.lastRead)
@@ -185,6 +191,9 @@
 		return gatherer.FaultCorrupt
 	}
 	if ctx.Err() == nil {
+		if c.isNew() {
+			p.reset()
+		}
 		p.retire(c, true, time.Time{})
 		return gatherer.FaultLost
 	}
@@ -291,31 +300,29 @@
 
 // TrimIdle closes the connections to a searcher that were idle for longer than the limit.
 func (d *Dialer) TrimIdle(a netip.AddrPort, limit time.Duration) {
-	d.mu.Lock()
-	p := d.pools[a]
-	d.mu.Unlock()
-	if p != nil {
+	if p := d.find(a); p != nil {
 		p.trimIdle(d.now(), limit)
 	}
 }
 
 // HasIdle reports whether a connection to the searcher is open and free.
 func (d *Dialer) HasIdle(a netip.AddrPort) bool {
-	d.mu.Lock()
-	p := d.pools[a]
-	d.mu.Unlock()
+	p := d.find(a)
 	return p != nil && p.hasIdle()
 }
 
 // NeedsWarming reports whether no open connection to the searcher is free and another one is allowed; connections that the searcher has closed are dropped.
 func (d *Dialer) NeedsWarming(a netip.AddrPort) bool { return d.pool(a).needsWarming(d.now()) }
 
-// Warm opens a connection to the searcher.
+// Warm opens a connection to the searcher, and keeps it unless it is reset at once.
 func (d *Dialer) Warm(ctx context.Context, a netip.AddrPort) {
 	p := d.pool(a)
-	if c, err := p.take(ctx, d.now(), time.Time{}, newOnly); err == nil {
-		p.put(c, d.now())
+	began := d.now()
+	c, err := p.take(ctx, began, time.Time{}, newOnly)
+	if err != nil || !p.survives(ctx, c, d.now().Sub(began)) {
+		return
 	}
+	p.put(c, d.now())
 }
 
 // Rebudget applies the budgets at once, when the VMs that share them have changed.
@@ -342,12 +349,19 @@
 // Close closes all idle connections; those in use are closed when they come back.
 func (d *Dialer) Close() { d.Trim(nil) }
 
+// find returns the pool of a searcher, or nil if there is none yet.
+func (d *Dialer) find(a netip.AddrPort) *pool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pools[a]
+}
+
 func (d *Dialer) pool(a netip.AddrPort) *pool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	p := d.pools[a]
 	if p == nil {
-		p = &pool{addr: a, dial: d.dial, now: d.now, limit: d.budget(a)}
+		p = &pool{addr: a, dial: d.dial, now: d.now, suspects: d.suspect, limit: d.budget(a)}
 		d.pools[a] = p
 	}
 	return p
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -31,6 +31,7 @@
 	most     int
 	requests atomic.Int64
 	conns    []net.Conn
+	admit    func(c net.Conn, open int) bool // nil admits all
 	wg       sync.WaitGroup
 }
 
@@ -47,11 +48,13 @@
 			if err != nil {
 				return
 			}
-			u.count(1, c)
+			admitted := u.count(1, c)
 			u.wg.Go(func() {
 				defer u.count(-1, nil)
 				defer func() { _ = c.Close() }()
-				u.serve(c, treat)
+				if admitted {
+					u.serve(c, treat)
+				}
 			})
 		}
 	})
@@ -63,7 +66,8 @@
 	return u
 }
 
-func (u *upstream) count(n int, c net.Conn) {
+// count counts a connection that came or ended, and reports whether one that came is admitted.
+func (u *upstream) count(n int, c net.Conn) bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.open += n
@@ -71,6 +75,13 @@
 	if c != nil {
 		u.conns = append(u.conns, c)
 	}
+	return c == nil || u.admit == nil || u.admit(c, u.open)
+}
+
+func (u *upstream) setAdmit(f func(c net.Conn, open int) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.admit = f
 }
 
 func (u *upstream) closeAll() {
@@ -237,7 +248,7 @@
 
 func TestPoolShrinks(t *testing.T) {
 	u := startUpstream(t, answers)
-	p := &pool{addr: u.addr, limit: 2, now: time.Now, dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return net.Dial("tcp", u.addr.String()) }}
+	p := &pool{addr: u.addr, limit: 2, now: time.Now, suspects: func() bool { return false }, dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return net.Dial("tcp", u.addr.String()) }}
 	now := time.Now()
 	var held []*conn
 	for range 2 {
--- /dev/null
+++ b/dialer/limit_test.go
@@ -0,0 +1,86 @@
+package dialer
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+)
+
+// startFull starts a searcher that resets each connection beyond a number, once it is accepted.
+func startFull(t *testing.T, connections int) *upstream {
+	t.Helper()
+	u := startUpstream(t, answers)
+	u.setAdmit(func(c net.Conn, open int) bool {
+		if open <= connections {
+			return true
+		}
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	return u
+}
+
+// The load: a searcher whose connections are held by others, as after a loss of power. One request may be lost to find that out; those after it are not sent, so that they may be tried elsewhere at no cost.
+func TestRequestsAreNotSentOnConnectionsThatAreReset(t *testing.T) {
+	u := startFull(t, 0)
+	d := newTestDialer(t, 4)
+	call := Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)}
+	notSent := 0
+	const calls = 20
+	for range calls {
+		r := d.Do(t.Context(), call)
+		if r.Fault == gatherer.FaultNone {
+			t.Fatal("an answer without a connection")
+		}
+		if r.Fault == gatherer.FaultNotSent && r.AtLimit {
+			notSent++
+		}
+	}
+	if notSent < calls-1 {
+		t.Errorf("%d of %d requests were not sent", notSent, calls)
+	}
+	if !d.AtLimit(u.addr) {
+		t.Error("the searcher does not count as at its limit")
+	}
+}
+
+// A searcher that is at its limit is asked on the connections that are open, and on new ones once it takes them again.
+func TestOpenConnectionsOfASearcherAtItsLimitServe(t *testing.T) {
+	u := startFull(t, 1)
+	d := newTestDialer(t, 4)
+	call := Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)}
+	if r := d.Do(t.Context(), call); r.Fault != gatherer.FaultNone {
+		t.Fatalf("the first call: %s", r.Fault)
+	}
+	d.Warm(t.Context(), u.addr)
+	if !d.AtLimit(u.addr) {
+		t.Fatal("a reset of a new connection was not noticed")
+	}
+	if r := d.Do(t.Context(), call); r.Fault != gatherer.FaultNone {
+		t.Errorf("on the open connection: %s", r.Fault)
+	}
+	u.setAdmit(func(net.Conn, int) bool { return true })
+	d.Warm(t.Context(), u.addr)
+	if open, _ := d.Open(); open != 2 {
+		t.Errorf("%d connections are open, not 2", open)
+	}
+}
+
+// A VM that has just started finds out before its first request.
+func TestNoRequestIsLostWhereResetsAreSuspected(t *testing.T) {
+	u := startFull(t, 0)
+	d := NewDialer(u.addr.Addr(), WithBudget(func(netip.AddrPort) int { return 4 }), WithSuspicion(func() bool { return true }))
+	defer d.Close()
+	for range 5 {
+		r := d.Do(t.Context(), Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)})
+		if r.Fault != gatherer.FaultNotSent || !r.AtLimit {
+			t.Fatalf("a request on a connection that is reset ended as %s", r.Fault)
+		}
+	}
+	if n := u.requests.Load(); n > 0 {
+		t.Errorf("%d requests reached the searcher", n)
+	}
+}
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -13,6 +13,7 @@
 	addr     netip.AddrPort
 	dial     func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	now      func() time.Time
+	suspects func() bool
 	mu       sync.Mutex
 	idle     []*conn
 	open     int
@@ -23,6 +24,7 @@
 	closed   bool
 	suspect  time.Time
 	answered time.Time
+	atLimit  time.Time // when a new connection was last reset before it carried an answer
 }
 
 // grant hands a waiter an idle connection, or the right to open one.
@@ -102,17 +104,6 @@
 	return p.limit
 }
 
-func (p *pool) connect(ctx context.Context) (*conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
-	defer cancel()
-	c, err := p.dial(ctx, p.addr)
-	if err != nil {
-		p.drop(ctx.Err() == nil)
-		return nil, err
-	}
-	return newConn(c), nil
-}
-
 // put gives a healthy connection to the first waiter, or keeps it.
 func (p *pool) put(c *conn, now time.Time) {
 	p.mu.Lock()
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -16,7 +16,7 @@
 	Snapshot *Snapshot
 	Random   func(n int) int
 	Stall    time.Duration
-	Ready    func(searcher int32) bool
+	SetUp    func(searcher int32) SetUp
 	Spread   *Spread // nil if the first attempts may all lie in one failure domain
 }
 
@@ -125,11 +125,27 @@
 	return best, true
 }
 
+// SetUp says what a searcher's next request has to do before it can be sent.
+type SetUp uint8
+
+// What has to be done: nothing where a connection is open and free, else to open one, which the searcher may reset.
+const (
+	NoSetUp SetUp = iota
+	Connect
+	ConnectAtLimit
+)
+
 // link returns the delay to a searcher and back, twice if a connection has to be opened first.
 func (p *Picker) link(r int32) time.Duration {
 	link := p.View.Searchers[r].Link
-	if p.Ready != nil && !p.Ready(r) {
-		link += link + ConnectCost
+	if p.SetUp == nil {
+		return link
+	}
+	switch p.SetUp(r) {
+	case Connect:
+		return 2*link + ConnectCost
+	case ConnectAtLimit:
+		return 2*link + ConnectCost + AtLimitCost
 	}
 	return link
 }
@@ -148,4 +164,5 @@
 	CostSpread  = 0.2
 	spreadSteps = 1000
 	ConnectCost = 6 * time.Millisecond
+	AtLimitCost = 100 * time.Millisecond // of a connection that is likely to be reset
 )
--- a/planner/route_test.go
+++ b/planner/route_test.go
@@ -98,8 +98,40 @@
 func TestPickPrefersAnOpenConnection(t *testing.T) {
 	v := routed()
 	r, _ := v.Match("h", "/x")
-	p := Picker{View: v, Index: r.Index.Name, Snapshot: r.Choose(0), Random: func(int) int { return 0 }, Stall: time.Second, Ready: func(n int32) bool { return n == 2 }}
+	p := Picker{View: v, Index: r.Index.Name, Snapshot: r.Choose(0), Random: func(int) int { return 0 }, Stall: time.Second, SetUp: func(n int32) SetUp {
+		if n == 2 {
+			return NoSetUp
+		}
+		return Connect
+	}}
 	if n, _ := p.Pick(epoch, 0, []int32{0}); n != 2 {
 		t.Errorf("picked %d though the connection to 2 is open", n)
 	}
 }
+
+// The load: the near searcher resets new connections, for others hold all that it allows.
+func TestPickAvoidsASearcherThatResetsNewConnections(t *testing.T) {
+	tests := []struct {
+		name  string
+		setUp []SetUp // by searcher; the first is the nearest
+		want  int32
+	}{
+		{"another takes new ones", []SetUp{ConnectAtLimit, Connect, ConnectAtLimit}, 1},
+		{"another has an open one", []SetUp{ConnectAtLimit, ConnectAtLimit, NoSetUp}, 2},
+		{"its open one is used", []SetUp{NoSetUp, Connect, Connect}, 0},
+		{"all are at their limit", []SetUp{ConnectAtLimit, ConnectAtLimit, ConnectAtLimit}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := routed()
+			r, _ := v.Match("h", "/x")
+			for i := range 3 {
+				v.Searchers[i].Link = time.Duration(1+20*i) * time.Millisecond
+			}
+			p := Picker{View: v, Index: r.Index.Name, Snapshot: r.Choose(0), Random: func(int) int { return 0 }, Stall: time.Second, SetUp: func(n int32) SetUp { return tt.setUp[n] }}
+			if n, ok := p.Pick(epoch, 0, nil); !ok || n != tt.want {
+				t.Errorf("picked %d, not %d", n, tt.want)
+			}
+		})
+	}
+}
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -96,7 +96,7 @@
 	bare := bareRegions(all, v.cfg.Routing.Regions)
 	c.Remote = slices.Contains(bare, self.region)
 	c.Chose = c.Near || choice(all, &self) == n
-	c.Settled = time.Since(v.started) >= SettlePeriod
+	c.Settled = !v.isUnsettled()
 	mine := s.key.Score(self.key)
 	for i := range fleet {
 		vm := &fleet[i]
@@ -116,6 +116,9 @@
 	return near, far, remote, c
 }
 
+// isUnsettled reports whether searchers may still count the connections of an earlier incarnation of the fleet.
+func (v *VM) isUnsettled() bool { return time.Since(v.started) < SettlePeriod }
+
 // bareRegions returns the regions that have none of the searchers.
 func bareRegions(all []replica, regions map[modeler.FailureDomain]string) []string {
 	var bare []string
--- a/scatterer/believe.go
+++ b/scatterer/believe.go
@@ -47,13 +47,13 @@
 	}
 }
 
-// blamed reports whether a fault is the searcher's own: it could not be reached, went away, or answered what is no answer.
+// blamed reports whether a fault is the searcher's own: it could not be reached, went away, or answered what is no answer. One that resets new connections serves those that it has.
 func blamed(e *end) bool {
 	switch e.event.Fault {
 	case gatherer.FaultLost, gatherer.FaultSilent, gatherer.FaultCorrupt, gatherer.FaultRejected:
 		return true
 	case gatherer.FaultNotSent:
-		return !e.reply.Late
+		return !e.reply.Late && !e.reply.AtLimit
 	}
 	return false
 }
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -73,7 +73,7 @@
 		r.picker.Spread = planner.NewSpread(len(req.Snapshot.Shards))
 	} else {
 		r.picker.Stall = stallLimit(req.View, req.Snapshot)
-		r.picker.Ready = func(n int32) bool { return s.Dialer.HasIdle(req.View.Searchers[n].Address) }
+		r.picker.SetUp = r.setUp
 		r.forwardPlan(&plan)
 		if len(plan.Shards) == 1 {
 			hold = func(bool) bool { return false }
@@ -93,6 +93,18 @@
 	return r
 }
 
+// setUp returns what has to be done before a searcher can be sent a request.
+func (r *run) setUp(n int32) planner.SetUp {
+	a := r.req.View.Searchers[n].Address
+	switch {
+	case r.s.Dialer.HasIdle(a):
+		return planner.NoSetUp
+	case r.s.Dialer.AtLimit(a):
+		return planner.ConnectAtLimit
+	}
+	return planner.Connect
+}
+
 // printOf returns the fingerprint of a request's content.
 func printOf(req *Request) observer.Fingerprint {
 	if req.Forward != nil {
