Queries whose shards lack searchers are refused before anything is sent

A shard that was left out as overloaded counted against the least coverage though it could be asked. Change: all first searchers are chosen before the first is asked; with too few, nothing is sent and the caller is told 503 (unregistered, not run) and to come back after a second, the time in which registrations return. A shard left out is asked after all where another one fails.

--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -132,21 +132,6 @@
 	return q.settle(now, out)
 }
 
-// start sends to every shard, unless there is no time left in which anything could be answered.
-func (q *Query) start(now time.Time, out []Action) []Action {
-	if !now.Before(q.plan.Deadline) {
-		return out
-	}
-	for i := range q.shards {
-		if q.plan.Shards[i].LeftOut {
-			q.giveUp(int32(i))
-			continue
-		}
-		out = q.sendElsewhere(now, int32(i), Primary, out)
-	}
-	return out
-}
-
 func (q *Query) answer(now time.Time, ev *Event, out []Action) []Action {
 	if !q.isOpen(ev.Attempt) {
 		return append(out, Action{Kind: ActionDrop, Attempt: ev.Attempt})
@@ -281,6 +266,7 @@
 		q.checked = len(q.lost)
 		out = append(out, Action{Kind: ActionCheck})
 	}
+	out = q.recall(now, out)
 	if q.settled == len(q.shards) || !now.Before(q.plan.Deadline) || q.enough(now) || q.hopeless() || q.stuck() {
 		return q.finish(out)
 	}
--- a/gatherer/query_test.go
+++ b/gatherer/query_test.go
@@ -33,6 +33,7 @@
 	mixed   bool
 	hold    func(bool) bool
 	matches func(want, got Claim) bool
+	without []int32 // shards without a searcher
 }
 
 func newBench(n, tokens int, change func(*bench, *Plan)) *bench {
@@ -46,6 +47,9 @@
 	}
 	b.q = NewQuery(plan, Hooks{
 		Pick: func(_ time.Time, shard int32, tried []int32) (int32, bool) {
+			if contains(b.without, shard) {
+				return 0, false
+			}
 			for r := range int32(replicas) {
 				if s := shard*replicas + r; !contains(tried, s) {
 					return s, true
--- a/refuser/kind.go
+++ b/refuser/kind.go
@@ -21,6 +21,7 @@
 	Draining         Kind = "draining"
 	Overloaded       Kind = "overloaded"
 	NoSearcher       Kind = "no-searcher"
+	Unregistered     Kind = "unregistered"
 	Quarantined      Kind = "quarantined"
 	CrashedSearchers Kind = "crashed-searchers"
 	UnknownRoute     Kind = "unknown-route"
--- a/refuser/table.go
+++ b/refuser/table.go
@@ -22,6 +22,7 @@
 	{Draining, http.StatusServiceUnavailable, Yes, true, time.Second, Lost},
 	{Overloaded, http.StatusTooManyRequests, Yes, true, time.Second, Late},
 	{NoSearcher, http.StatusServiceUnavailable, Yes, true, time.Second, Lost},
+	{Unregistered, http.StatusServiceUnavailable, Yes, true, time.Second, Lost},
 	{Quarantined, http.StatusUnprocessableEntity, Yes, false, 0, Lost},
 	{CrashedSearchers, http.StatusUnprocessableEntity, No, false, 0, Lost},
 	{UnknownRoute, http.StatusNotFound, Yes, false, 0, None},
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -42,7 +42,7 @@
 		res.Crashed = true
 	}
 	for i, h := range r.plan.Shards {
-		if h.LeftOut {
+		if h.LeftOut && !r.answered[i] {
 			res.LeftOut = append(res.LeftOut, r.shardName(int32(i)))
 		}
 	}
--- a/server/constants.go
+++ b/server/constants.go
@@ -22,7 +22,7 @@
 	ObjectiveMargin = 22 * time.Millisecond
 	RouteRetryAfter = 100 * time.Millisecond
 
-	UnconfiguredRetryAfter = time.Second
+	StoreRetryAfter = time.Second
 
 	QueueWait  = 2 * time.Millisecond // without a new connection, until the accept queue counts as empty
 	QueueLimit = 100 * time.Millisecond
--- a/server/forward.go
+++ b/server/forward.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/dialer"
+	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/observer"
@@ -281,6 +282,8 @@
 	switch {
 	case res.Crashed:
 		return refuser.New(refuser.Unserved, "the request crashed searchers and was stopped")
+	case !res.MayHaveRun && res.Faults == (gatherer.FaultCounts{}):
+		return refuser.New(refuser.Unregistered, "%s: too few searchers are registered", detail)
 	case !res.MayHaveRun && res.Shed > 0:
 		return refuser.New(refuser.Overloaded, "%s: searchers refused it", detail)
 	case !res.MayHaveRun:
@@ -289,10 +292,11 @@
 	return refuser.New(refuser.Unserved, "%s", detail)
 }
 
-// retryAfter returns when a caller that was refused may be served: a VM at its limit soon has a place, one without a configuration waits for the store.
+// retryAfter returns when a caller that was refused may be served: a VM at its limit soon has a place, one without a configuration or searchers waits for the store.
 func retryAfter(k refuser.Kind) time.Duration {
-	if k == refuser.Unconfigured {
-		return UnconfiguredRetryAfter
+	switch k {
+	case refuser.Unconfigured, refuser.Unregistered:
+		return StoreRetryAfter
 	}
 	return RouteRetryAfter
 }
