--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -11,7 +11,7 @@
 	"github.com/pistachiogap/pistachiogap/ticketer"
 )
 
-// State is what is believed of a member; of one version the later state wins.
+// State is what is known of a member; of one version the later state wins.
 type State uint8
 
 // The states of a member.
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Bounds of what is believed of searchers.
+// Bounds of what is known of searchers.
 const (
 	InitialLatency   = 2 * time.Millisecond
 	LatencyWeight    = 0.2
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -10,7 +10,7 @@
 	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
-// Observer owns what one VM believes of all searchers and services.
+// Observer owns what one VM knows of all searchers and services.
 type Observer struct {
 	mu         sync.Mutex
 	searchers  map[netip.AddrPort]*Searcher
@@ -34,7 +34,7 @@
 	return o
 }
 
-// Searcher returns what is believed of the searcher at the address.
+// Searcher returns what is known of the searcher at the address.
 func (o *Observer) Searcher(a netip.AddrPort) *Searcher {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -49,7 +49,7 @@
 	return s
 }
 
-// Join returns what is believed of the searcher with the name, which belongs to the service; what was believed of another searcher at its address is forgotten.
+// Join returns what is known of the searcher with the name, which belongs to the service; what was known of another searcher at its address is forgotten.
 func (o *Observer) Join(a netip.AddrPort, name modeler.SearcherName, born time.Time, service *Service) *Searcher {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -68,7 +68,7 @@
 	return s
 }
 
-// Service returns what is believed of the service.
+// Service returns what is known of the service.
 func (o *Observer) Service(n modeler.ServiceName) *Service {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -88,5 +88,5 @@
 	maps.DeleteFunc(o.services, func(n modeler.ServiceName, _ *Service) bool { _, ok := services[n]; return !ok })
 }
 
-// Generation rises whenever a belief changes that decides which snapshot can be pinned.
+// Generation rises whenever something that is known changes that decides which snapshot can be pinned.
 func (o *Observer) Generation() uint64 { return o.generation.Load() }
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// BenchmarkSearcher measures the memory of a searcher's beliefs and the time of one attempt's bookkeeping.
+// BenchmarkSearcher measures the memory of what is known of a searcher and the time of one attempt's bookkeeping.
 func BenchmarkSearcher(b *testing.B) {
 	const n = 10_000
 	var before, after runtime.MemStats
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -10,7 +10,7 @@
 	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
-// Searcher is what one VM believes of one searcher.
+// Searcher is what one VM knows of one searcher.
 type Searcher struct {
 	mu       sync.Mutex
 	inflight int
@@ -201,7 +201,7 @@
 	return cost
 }
 
-// State is a readable copy of what is believed.
+// State is a readable copy of what is known.
 type State struct {
 	InFlight int                                        `json:"in-flight"`
 	Latency  modeler.Duration                           `json:"latency"`
@@ -210,7 +210,7 @@
 	Held     map[modeler.IndexName][]modeler.SnapshotID `json:"snapshots-held,omitempty"`
 }
 
-// Snapshot returns a readable copy of what is believed now.
+// Snapshot returns a readable copy of what is known now.
 func (s *Searcher) Snapshot(now time.Time) State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -143,7 +143,7 @@
 	tried := 0
 	for i := range service.Searchers {
 		r := &v.Searchers[service.Searchers[(i+offset)%len(service.Searchers)]]
-		if tried == MaxAttempts || r.Belief.Draining(time.Now()) {
+		if tried == MaxAttempts || r.Health.Draining(time.Now()) {
 			continue
 		}
 		var again bool
@@ -160,13 +160,13 @@
 	id := modeler.RequestID(s.Ticket)
 	attempt := s.Ticket + "." + strconv.Itoa(n)
 	o.recorder.Record(recorder.Event{Kind: recorder.OrderSent, Request: id, Attempt: int32(n), Searcher: r.Name})
-	r.Belief.Begin(time.Now())
+	r.Health.Begin(time.Now())
 	reply := o.dialer.Do(ctx, dialer.Call{
 		Address: r.Address, Path: "/v1/order", Request: id, Attempt: attempt, Deadline: s.Deadline, Body: s.Body, Proven: true,
 	})
-	r.Belief.Ended()
+	r.Health.Ended()
 	if reply.Draining {
-		r.Belief.Drain(time.Now())
+		r.Health.Drain(time.Now())
 	}
 	if reply.Fault == gatherer.FaultNone {
 		return o.read(s, attempt, reply), false
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -51,7 +51,7 @@
 	fit, ejected := buf[:0], 0
 	all := p.View.Services[service].Searchers
 	for _, r := range all {
-		if p.open(now, r, tried, avoid) && !p.View.Searchers[r].Belief.Ejected(now) {
+		if p.open(now, r, tried, avoid) && !p.View.Searchers[r].Health.Ejected(now) {
 			fit = append(fit, r)
 		}
 	}
@@ -74,7 +74,7 @@
 	if slices.Contains(tried, r) || p.View.Searchers[r].Domain == avoid {
 		return false
 	}
-	b := p.View.Searchers[r].Belief
+	b := p.View.Searchers[r].Health
 	if until := p.View.Searchers[r].Until; !until.IsZero() && !now.Before(until) {
 		return false
 	}
@@ -93,7 +93,7 @@
 	out := make([]int32, 0, len(fit))
 	for _, r := range fit {
 		s := &p.View.Searchers[r]
-		if s.Until.IsZero() && !s.Belief.Stalled(now, p.Stall) {
+		if s.Until.IsZero() && !s.Health.Stalled(now, p.Stall) {
 			out = append(out, r)
 		}
 	}
@@ -118,7 +118,7 @@
 	for _, r := range fit {
 		s := &p.View.Searchers[r]
 		spread := 1 - CostSpread/2 + CostSpread*float64(p.Random(spreadSteps))/spreadSteps
-		if cost := s.Belief.Cost(now, slots, p.link(r)) * spread; cost < least {
+		if cost := s.Health.Cost(now, slots, p.link(r)) * spread; cost < least {
 			best, least = r, cost
 		}
 	}
--- a/planner/pin.go
+++ b/planner/pin.go
@@ -68,7 +68,7 @@
 func (v *View) serviceHolds(index modeler.IndexName, service int32, id modeler.SnapshotID, now time.Time) (holds, known bool) {
 	known = true
 	for _, r := range v.Services[service].Searchers {
-		b := v.Searchers[r].Belief
+		b := v.Searchers[r].Health
 		h, k := b.Held(index, id)
 		if h && !b.Ejected(now) {
 			return true, true
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -50,7 +50,7 @@
 
 func TestPin(t *testing.T) {
 	v, x, o := view(2, 4)
-	hold := func(r int, ids ...modeler.SnapshotID) { v.Searchers[r].Belief.Holds("x", ids) }
+	hold := func(r int, ids ...modeler.SnapshotID) { v.Searchers[r].Health.Holds("x", ids) }
 	pin := func() modeler.SnapshotID { return v.Pin(x, epoch, o.Generation(), 0).ID }
 	if got := pin(); got != 2 {
 		t.Errorf("knowing nothing, %d is pinned, not the newest", got)
@@ -84,13 +84,13 @@
 		{name: "any replica", allowed: []int32{0, 1, 2}},
 		{name: "never a tried one", tried: []int32{0, 2}, allowed: []int32{1}},
 		{name: "none left", tried: []int32{0, 1, 2}},
-		{name: "never one that drains", change: func(v *View) { v.Searchers[1].Belief.Drain(epoch) }, tried: []int32{0}, allowed: []int32{2}},
-		{name: "never one that lacks the snapshot", change: func(v *View) { v.Searchers[0].Belief.Holds("x", []modeler.SnapshotID{1}) }, allowed: []int32{1, 2}},
+		{name: "never one that drains", change: func(v *View) { v.Searchers[1].Health.Drain(epoch) }, tried: []int32{0}, allowed: []int32{2}},
+		{name: "never one that lacks the snapshot", change: func(v *View) { v.Searchers[0].Health.Holds("x", []modeler.SnapshotID{1}) }, allowed: []int32{1, 2}},
 		{name: "not an ejected one", change: func(v *View) { eject(v, 0) }, allowed: []int32{1, 2}},
 		{name: "ejection is bounded", change: func(v *View) { eject(v, 0); eject(v, 1) }, allowed: []int32{0, 1, 2}},
 		{name: "the slow one never wins a pair", change: func(v *View) {
-			v.Searchers[0].Belief.Begin(epoch)
-			v.Searchers[0].Belief.Answered(epoch, time.Second)
+			v.Searchers[0].Health.Begin(epoch)
+			v.Searchers[0].Health.Answered(epoch, time.Second)
 		}, allowed: []int32{1, 2}},
 	}
 	for _, tt := range tests {
@@ -145,7 +145,7 @@
 					s.Link = time.Second
 				}
 				if tt.drain && s.Domain != near {
-					s.Belief.Drain(epoch)
+					s.Health.Drain(epoch)
 				}
 			}
 			for turn := range 50 {
@@ -170,8 +170,8 @@
 }
 
 func eject(v *View, r int) {
-	v.Searchers[r].Belief.Begin(epoch)
-	v.Searchers[r].Belief.Failed(epoch, true)
+	v.Searchers[r].Health.Begin(epoch)
+	v.Searchers[r].Health.Failed(epoch, true)
 }
 
 func TestRankMovesLittle(t *testing.T) {
--- a/planner/registration.go
+++ b/planner/registration.go
@@ -45,7 +45,7 @@
 		s := &v.Searchers[n]
 		s.Until = r.Until
 		if r.Cold > 0 {
-			s.Belief.Warming(r.Seen.Add(r.Cold))
+			s.Health.Warming(r.Seen.Add(r.Cold))
 		}
 	}
 }
--- a/planner/route_test.go
+++ b/planner/route_test.go
@@ -66,12 +66,12 @@
 		allowed map[modeler.SearcherName]bool
 	}{
 		{"the near one", func(*View) {}, map[modeler.SearcherName]bool{"s-d-0": true}},
-		{"not one that leaves an attempt unanswered", func(v *View) { v.Searchers[0].Belief.Begin(epoch.Add(-stall - 1)) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
+		{"not one that leaves an attempt unanswered", func(v *View) { v.Searchers[0].Health.Begin(epoch.Add(-stall - 1)) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
 		{"not one that leaves while others are there", func(v *View) { v.Searchers[0].Until = epoch.Add(time.Second) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
 		{"one that leaves if there is no other", func(v *View) {
 			v.Searchers[0].Until = epoch.Add(time.Second)
-			v.Searchers[1].Belief.Drain(epoch)
-			v.Searchers[2].Belief.Drain(epoch)
+			v.Searchers[1].Health.Drain(epoch)
+			v.Searchers[2].Health.Drain(epoch)
 		}, map[modeler.SearcherName]bool{"s-d-0": true}},
 		{"none once all have left", func(v *View) {
 			for i := range v.Searchers {
--- a/planner/view.go
+++ b/planner/view.go
@@ -15,7 +15,7 @@
 	Service int32
 	Domain  int32
 	Link    time.Duration
-	Belief  *observer.Searcher
+	Health  *observer.Searcher
 	Until   time.Time
 }
 
@@ -24,7 +24,7 @@
 	modeler.Service
 	Bucket    string
 	Searchers []int32
-	Belief    *observer.Service
+	Health    *observer.Service
 }
 
 // Shard is one shard of a snapshot with its service, or a negative service when none is configured.
@@ -138,7 +138,7 @@
 	v.services[s.Name] = n
 	bucket := BucketOf(s.Name)
 	v.Buckets[bucket] = append(v.Buckets[bucket], n)
-	out := Service{Service: s, Bucket: bucket, Belief: o.Service(s.Name), Searchers: make([]int32, 0, len(s.Searchers))}
+	out := Service{Service: s, Bucket: bucket, Health: o.Service(s.Name), Searchers: make([]int32, 0, len(s.Searchers))}
 	for _, r := range s.Searchers {
 		d, ok := domains[r.FailureDomain]
 		if !ok {
@@ -149,7 +149,7 @@
 		out.Searchers = append(out.Searchers, int32(len(v.Searchers)))
 		v.Searchers = append(v.Searchers, Searcher{
 			Searcher: r, Service: n, Domain: d, Link: 2 * delays[r.FailureDomain],
-			Belief: o.Join(r.Address, r.Name, r.Born, out.Belief),
+			Health: o.Join(r.Address, r.Name, r.Born, out.Health),
 		})
 	}
 	v.Services = append(v.Services, out)
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -65,7 +65,7 @@
 	for i := range view.Searchers {
 		s := &view.Searchers[i]
 		out[i] = server.UpstreamState{
-			Service: view.Services[s.Service].Name, Searcher: s.Name, Address: s.Address.String(), State: s.Belief.Snapshot(now),
+			Service: view.Services[s.Service].Name, Searcher: s.Name, Address: s.Address.String(), State: s.Health.Snapshot(now),
 		}
 	}
 	return out
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -162,7 +162,7 @@
 		if len(ends) == WarmAtOnce {
 			break
 		}
-		if !s.Until.IsZero() || s.Belief.Ejected(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
+		if !s.Until.IsZero() || s.Health.Ejected(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
 			continue
 		}
 		ends = append(ends, spawner.Go(ctx, func(ctx context.Context) error {
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -77,14 +77,14 @@
 	}
 	now := time.Now()
 	if err != nil {
-		s.Belief.Begin(now)
-		s.Belief.Failed(now, false)
+		s.Health.Begin(now)
+		s.Health.Failed(now, false)
 		return
 	}
 	for index, ids := range load.Held {
-		s.Belief.Holds(index, ids)
+		s.Health.Holds(index, ids)
 	}
-	if load.Draining && s.Belief.Drain(now) {
+	if load.Draining && s.Health.Drain(now) {
 		v.tellDraining(s.Address, "load endpoint")
 	}
 }
--- a/scatterer/judge.go
+++ b/scatterer/diagnose.go
@@ -9,17 +9,17 @@
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
-// judgement is a verdict with the losses that decided it, by what the control searchers of their failure domains are.
-type judgement struct {
+// diagnosis is a verdict with the losses that decided it, by what the control searchers of their failure domains are.
+type diagnosis struct {
 	verdict gatherer.Verdict
 	lost    int
 	inLive  int
 	inDead  int
 }
 
-// judge says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which control searchers are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if the control searchers are dead, and undecided if they do not answer in time.
-func (s *Scatterer) judge(ctx context.Context, v *planner.View, lost []int32, c controls) judgement {
-	first := s.judgeOnce(ctx, v, lost, c)
+// diagnose says whether the losses of a request are its own doing. It is poisonous if at least PoisonLosses of them happened in failure domains in which control searchers are alive, now and RecheckAfter later, for a failure domain does not die all at once. It is innocent if the control searchers are dead, and undecided if they do not answer in time.
+func (s *Scatterer) diagnose(ctx context.Context, v *planner.View, lost []int32, c controls) diagnosis {
+	first := s.diagnoseOnce(ctx, v, lost, c)
 	if first.verdict != gatherer.Poisonous {
 		return first
 	}
@@ -28,15 +28,15 @@
 		first.verdict = gatherer.Undecided
 		return first
 	}
-	return s.judgeOnce(ctx, v, lost, c)
+	return s.diagnoseOnce(ctx, v, lost, c)
 }
 
-func (s *Scatterer) judgeOnce(ctx context.Context, v *planner.View, lost []int32, c controls) judgement {
+func (s *Scatterer) diagnoseOnce(ctx context.Context, v *planner.View, lost []int32, c controls) diagnosis {
 	losses := map[int32]int{}
 	for _, r := range lost {
 		losses[v.Searchers[r].Domain]++
 	}
-	j := judgement{lost: len(lost)}
+	j := diagnosis{lost: len(lost)}
 	for domain, n := range losses {
 		switch s.domain(ctx, v, domain, c) {
 		case dialer.Alive:
@@ -104,10 +104,10 @@
 	return n
 }
 
-// judgeForward judges the losses of a request on a route, where answers are also lost without a crash.
-func (s *Scatterer) judgeForward(ctx context.Context, v *planner.View, lost []int32, c controls) judgement {
+// diagnoseForward judges the losses of a request on a route, where answers are also lost without a crash.
+func (s *Scatterer) diagnoseForward(ctx context.Context, v *planner.View, lost []int32, c controls) diagnosis {
 	if s.crashes(ctx, v, lost) < gatherer.PoisonLosses {
-		return judgement{verdict: gatherer.Innocent, lost: len(lost)}
+		return diagnosis{verdict: gatherer.Innocent, lost: len(lost)}
 	}
-	return s.judge(ctx, v, lost, c)
+	return s.diagnose(ctx, v, lost, c)
 }
--- a/scatterer/judge_test.go
+++ b/scatterer/diagnose_test.go
@@ -45,7 +45,7 @@
 			s := NewScatterer(d, nil, nil, nil)
 			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 			defer cancel()
-			if j := s.judge(ctx, v, []int32{0, 1}, r.controls()); j.verdict != tt.want {
+			if j := s.diagnose(ctx, v, []int32{0, 1}, r.controls()); j.verdict != tt.want {
 				t.Errorf("verdict %s, not %s: %+v", j.verdict, tt.want, j)
 			}
 		})
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -17,7 +17,7 @@
 	if len(s.Shards) != 1 || s.Shards[0].Service < 0 {
 		return StallLimit
 	}
-	typical := v.Services[s.Shards[0].Service].Belief.Typical()
+	typical := v.Services[s.Shards[0].Service].Health.Typical()
 	return max(StallLimit, time.Duration(StallFactor*typical))
 }
 
@@ -108,9 +108,9 @@
 		return
 	}
 	now := r.s.now()
-	if again := r.s.Quarantine.Suspect(r.print, now); again || n >= gatherer.PoisonLosses {
+	if again := r.s.Quarantine.Suspect(r.fingerprint, now); again || n >= gatherer.PoisonLosses {
 		r.quarantine()
 		return
 	}
-	r.s.suspect(r.print, now.Add(observer.QuarantinePeriod))
+	r.s.suspect(r.fingerprint, now.Add(observer.QuarantinePeriod))
 }
--- a/scatterer/forward_test.go
+++ b/scatterer/forward_test.go
@@ -16,7 +16,7 @@
 	c := modeler.Configuration{Services: []modeler.Service{{Name: "portal"}, {Name: "desk"}}}
 	v := planner.NewView(1, "d", nil, []modeler.Configuration{c}, observer.NewObserver())
 	for range 50 {
-		v.Services[0].Belief.Record(60 * time.Millisecond)
+		v.Services[0].Health.Record(60 * time.Millisecond)
 	}
 	single := &planner.Snapshot{Shards: []planner.Shard{{Service: 0}}}
 	if got := stallLimit(v, single); got < 140*time.Millisecond || got > 160*time.Millisecond {
--- a/scatterer/believe.go
+++ b/scatterer/learn.go
@@ -7,10 +7,10 @@
 	"github.com/pistachiogap/pistachiogap/gatherer"
 )
 
-// believe takes what an attempt showed into what is believed of its searcher and service.
-func (r *run) believe(ctx context.Context, a gatherer.Action, e *end, took time.Duration) {
+// learn takes what an attempt showed into what is known of its searcher and service.
+func (r *run) learn(ctx context.Context, a gatherer.Action, e *end, took time.Duration) {
 	searcher := &r.req.View.Searchers[a.Searcher]
-	b := searcher.Belief
+	b := searcher.Health
 	now := r.s.now()
 	if e.reply.Held != nil {
 		b.Holds(r.req.Index.Name, e.reply.Held)
@@ -24,7 +24,7 @@
 	case e.event.Kind == gatherer.EventAnswer:
 		b.Answered(now, took)
 		if r.req.Forward == nil || a.Purpose == gatherer.Primary {
-			r.req.View.Services[searcher.Service].Belief.Record(took)
+			r.req.View.Services[searcher.Service].Health.Record(took)
 		}
 		if !e.reply.Draining {
 			b.Returned(now, now.Add(-took))
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -35,9 +35,9 @@
 		res.Missing = r.query.Missing()
 	}
 	if res.Answered > 0 {
-		r.s.Quarantine.Good(r.print.At(r.req.Snapshot.ID), now)
+		r.s.Quarantine.Good(r.fingerprint.At(r.req.Snapshot.ID), now)
 	}
-	if r.req.Forward == nil && res.Answered == 0 && res.Lost == 1 && r.s.Quarantine.Suspect(r.print, now) {
+	if r.req.Forward == nil && res.Answered == 0 && res.Lost == 1 && r.s.Quarantine.Suspect(r.fingerprint, now) {
 		r.quarantine()
 		res.Crashed = true
 	}
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -28,42 +28,42 @@
 
 // run is one query under way.
 type run struct {
-	s         *Scatterer
-	req       Request
-	picker    planner.Picker
-	print     observer.Fingerprint
-	prefix    string
-	query     *gatherer.Query
-	plan      gatherer.Plan
-	answered  []bool
-	ends      chan end
-	hedges    *limiter.Budget
-	retries   *limiter.Budget
-	cancels   []context.CancelFunc
-	attempted []int32
-	start     time.Time
-	reached   map[int32]bool
-	hits      []dialer.Hit
-	parts     []Part
-	failure   *dialer.Reply
-	faults    gatherer.FaultCounts
-	notes     []recorder.Event
-	sampled   bool
-	shed      atomic.Int64
-	crashed   bool
-	notHeld   bool
+	s           *Scatterer
+	req         Request
+	picker      planner.Picker
+	fingerprint observer.Fingerprint
+	prefix      string
+	query       *gatherer.Query
+	plan        gatherer.Plan
+	answered    []bool
+	ends        chan end
+	hedges      *limiter.Budget
+	retries     *limiter.Budget
+	cancels     []context.CancelFunc
+	attempted   []int32
+	start       time.Time
+	reached     map[int32]bool
+	hits        []dialer.Hit
+	parts       []Part
+	failure     *dialer.Reply
+	faults      gatherer.FaultCounts
+	notes       []recorder.Event
+	sampled     bool
+	shed        atomic.Int64
+	crashed     bool
+	notHeld     bool
 }
 
 func newRun(s *Scatterer, req Request) *run {
 	r := &run{
 		s: s, req: req,
-		picker:  planner.Picker{View: req.View, Index: req.Index.Name, Snapshot: req.Snapshot, Random: s.random},
-		print:   printOf(&req),
-		prefix:  string(req.ID) + "." + strconv.FormatUint(rand.Uint64(), 36) + ".",
-		ends:    make(chan end, len(req.Snapshot.Shards)+eventSlack),
-		start:   s.now(),
-		reached: make(map[int32]bool, len(req.Snapshot.Shards)),
-		sampled: s.Recorder.Sampled(req.ID),
+		picker:      planner.Picker{View: req.View, Index: req.Index.Name, Snapshot: req.Snapshot, Random: s.random},
+		fingerprint: fingerprintOf(&req),
+		prefix:      string(req.ID) + "." + strconv.FormatUint(rand.Uint64(), 36) + ".",
+		ends:        make(chan end, len(req.Snapshot.Shards)+eventSlack),
+		start:       s.now(),
+		reached:     make(map[int32]bool, len(req.Snapshot.Shards)),
+		sampled:     s.Recorder.Sampled(req.ID),
 	}
 	policy := req.Index.Policy
 	r.hedges, r.retries = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, len(req.Snapshot.Shards))
@@ -105,10 +105,10 @@
 	return planner.Connect
 }
 
-// printOf returns the fingerprint of a request's content.
-func printOf(req *Request) observer.Fingerprint {
+// fingerprintOf returns the fingerprint of a request's content.
+func fingerprintOf(req *Request) observer.Fingerprint {
 	if req.Forward != nil {
-		return req.Forward.Print
+		return req.Forward.Fingerprint
 	}
 	return observer.FingerprintOf(req.Index.Name, req.Body)
 }
@@ -124,7 +124,7 @@
 		Patience:      r.req.Deadline,
 		LeastCoverage: policy.LeastCoverage,
 		Probes:        gatherer.CanaryProbes,
-		KnownGood:     r.s.Quarantine.KnownGood(r.print.At(r.req.Snapshot.ID), now),
+		KnownGood:     r.s.Quarantine.KnownGood(r.fingerprint.At(r.req.Snapshot.ID), now),
 	}
 	if policy.Patience.Duration > 0 {
 		plan.Patience = now.Add(policy.Patience.Duration)
@@ -152,9 +152,9 @@
 		return observer.InitialHedge
 	}
 	if r.req.Forward != nil {
-		return r.s.hedgeAt(r.req.View.Services[n].Belief.HedgeAfterTypical())
+		return r.s.hedgeAt(r.req.View.Services[n].Health.HedgeAfterTypical())
 	}
-	return r.s.hedgeAt(r.req.View.Services[n].Belief.HedgeDelay(r.s.now(), r.req.Index.Policy.HedgeQuantile))
+	return r.s.hedgeAt(r.req.View.Services[n].Health.HedgeDelay(r.s.now(), r.req.Index.Policy.HedgeQuantile))
 }
 
 // loop runs the query until it is done.
@@ -236,9 +236,9 @@
 	defer cancel()
 	searcher := &r.req.View.Searchers[a.Searcher]
 	start := r.s.now()
-	searcher.Belief.Begin(start)
+	searcher.Health.Begin(start)
 	e := r.exchange(ctx, a, call)
-	r.believe(ctx, a, &e, r.s.now().Sub(start))
+	r.learn(ctx, a, &e, r.s.now().Sub(start))
 	if e.event.Fault == gatherer.FaultShed {
 		r.shed.Add(1)
 	}
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -129,11 +129,11 @@
 
 // Forward is what a request on a route has beside a search: the caller's message, and how often it may run.
 type Forward struct {
-	Message    *dialer.Message
-	Patience   time.Time
-	Attempts   int
-	AtMostOnce bool
-	Print      observer.Fingerprint
+	Message     *dialer.Message
+	Patience    time.Time
+	Attempts    int
+	AtMostOnce  bool
+	Fingerprint observer.Fingerprint
 }
 
 // Result is what a search came to.
@@ -173,6 +173,6 @@
 	r := newRun(s, req)
 	r.loop(ctx)
 	r.observeMissing()
-	r.judgeLate(ctx)
+	r.diagnoseLate(ctx)
 	return r.result()
 }
--- a/scatterer/suspect.go
+++ b/scatterer/suspect.go
@@ -18,17 +18,17 @@
 	lost := slices.Clone(r.query.Lost())
 	c := r.controls()
 	go func() {
-		judge := r.s.judge
+		diagnose := r.s.diagnose
 		if r.req.Forward != nil {
-			judge = r.s.judgeForward
+			diagnose = r.s.diagnoseForward
 		}
-		j := judgement{lost: len(lost)}
+		j := diagnosis{lost: len(lost)}
 		var err error
 		func() {
-			defer spawner.Recover("judgement", &err)
-			j = judge(ctx, r.req.View, lost, c)
+			defer spawner.Recover("diagnosis", &err)
+			j = diagnose(ctx, r.req.View, lost, c)
 		}()
-		r.logJudgement(j)
+		r.logDiagnosis(j)
 		select {
 		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: j.verdict}}:
 		case <-ctx.Done():
@@ -50,8 +50,8 @@
 	}
 }
 
-// judgeLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
-func (r *run) judgeLate(ctx context.Context) {
+// diagnoseLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
+func (r *run) diagnoseLate(ctx context.Context) {
 	lost := r.query.Lost()
 	if r.req.Forward != nil {
 		r.suspectForward(ctx, lost)
@@ -62,16 +62,16 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
 	defer cancel()
-	j := r.s.judge(ctx, r.req.View, lost, r.controls())
-	r.logJudgement(j)
+	j := r.s.diagnose(ctx, r.req.View, lost, r.controls())
+	r.logDiagnosis(j)
 	if j.verdict == gatherer.Poisonous {
 		r.quarantine()
 	}
 }
 
-// logJudgement says what the losses of a request were taken for, and what decided it.
-func (r *run) logJudgement(j judgement) {
-	klog.InfoS("search: losses judged", "id", string(r.req.ID), "fingerprint", uint64(r.print), "verdict", j.verdict.String(),
+// logDiagnosis says what the losses of a request were taken for, and what decided it.
+func (r *run) logDiagnosis(j diagnosis) {
+	klog.InfoS("search: losses judged", "id", string(r.req.ID), "fingerprint", uint64(r.fingerprint), "verdict", j.verdict.String(),
 		"lost", j.lost, "in-live-domains", j.inLive, "in-dead-domains", j.inDead, "revision", uint64(r.req.View.Revision))
 }
 
@@ -79,8 +79,8 @@
 	r.crashed = true
 	now := r.s.now()
 	until := now.Add(observer.QuarantinePeriod)
-	if r.s.Quarantine.Add(r.print, now, until) {
-		r.s.poisoned(r.print, until)
+	if r.s.Quarantine.Add(r.fingerprint, now, until) {
+		r.s.poisoned(r.fingerprint, until)
 	}
 	r.notes = append(r.notes, r.s.Recorder.Stamp(recorder.Event{Kind: recorder.RequestQuarantined, Request: r.req.ID}))
 }
--- a/server/forward.go
+++ b/server/forward.go
@@ -61,14 +61,14 @@
 
 // forward is one request on a route under way.
 type forward struct {
-	in       Incoming
-	start    time.Time
-	deadline time.Time
-	view     *planner.View
-	route    *planner.Route
-	snapshot *planner.Snapshot
-	body     []byte
-	print    observer.Fingerprint
+	in          Incoming
+	start       time.Time
+	deadline    time.Time
+	view        *planner.View
+	route       *planner.Route
+	snapshot    *planner.Snapshot
+	body        []byte
+	fingerprint observer.Fingerprint
 }
 
 // ServeHTTP serves one request.
@@ -121,8 +121,8 @@
 	if f.in.Budget > 0 {
 		f.deadline = earlier(f.deadline, f.start.Add(f.in.Budget-ReturnMargin))
 	}
-	f.print = observer.FingerprintOf(f.route.Index.Name, append([]byte(r.Method+" "+r.RequestURI+"\x00"), f.body...))
-	if s.Quarantine.Holds(f.print, f.start) {
+	f.fingerprint = observer.FingerprintOf(f.route.Index.Name, append([]byte(r.Method+" "+r.RequestURI+"\x00"), f.body...))
+	if s.Quarantine.Holds(f.fingerprint, f.start) {
 		return refuser.New(refuser.Withheld, "this request crashed searchers and is not run")
 	}
 	return nil
@@ -222,11 +222,11 @@
 	req := scatterer.Request{
 		ID: f.in.ID, View: f.view, Index: f.route.Index, Snapshot: f.snapshot, Body: f.body, Limit: f.route.Limit, Deadline: f.deadline,
 		Forward: &scatterer.Forward{
-			Message:    &dialer.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header},
-			Patience:   f.deadline,
-			Attempts:   f.route.Attempts,
-			AtMostOnce: !f.route.Idempotent,
-			Print:      f.print,
+			Message:     &dialer.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header},
+			Patience:    f.deadline,
+			Attempts:    f.route.Attempts,
+			AtMostOnce:  !f.route.Idempotent,
+			Fingerprint: f.fingerprint,
 		},
 	}
 	if len(f.route.Shards) > 0 && f.route.Objective.Duration > 0 {
--- a/server/operators.go
+++ b/server/operators.go
@@ -40,7 +40,7 @@
 	Gossip        gossiper.Counters `json:"gossip"`
 }
 
-// UpstreamState is what a VM believes of one searcher.
+// UpstreamState is what a VM knows of one searcher.
 type UpstreamState struct {
 	Service  modeler.ServiceName  `json:"service"`
 	Searcher modeler.SearcherName `json:"searcher"`
