--- a/commander/experiment.go
+++ b/commander/experiment.go
@@ -24,7 +24,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "index", Required: true, Usage: "`NAME` of the index"},
 			&cli.StringFlag{Name: "policies", Value: "design,no-hedge,naive-retry,oracle", Usage: "`LIST` of policies"},
-			&cli.StringFlag{Name: "faults", Value: "healthy,straggler,lost-domain,poison,silence", Usage: "`LIST` of faults, overload too"},
+			&cli.StringFlag{Name: "faults", Value: "healthy,straggler,lost-domain,poison,silence", Usage: "`LIST` of faults, overload and short-shard too"},
 			&cli.StringFlag{Name: "relay-widths", Value: "0", Usage: "`LIST` of relay widths"},
 			&cli.IntFlag{Name: "vms", Value: 9, Usage: "how many VMs"},
 			&cli.FloatFlag{Name: "rate", Value: 100, Usage: "searches a second"},
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -39,6 +39,7 @@
 	Overload   Fault = "overload"
 	Poison     Fault = "poison"
 	Silence    Fault = "silence"
+	ShortShard Fault = "short-shard"
 )
 
 // The fixed parts of an experiment.
@@ -49,6 +50,7 @@
 	PoisonPeriod  = 500 * time.Millisecond
 	SilencePeriod = 2 * time.Second
 	restartAfter  = 300 * time.Millisecond
+	ShortShards   = 2
 	clientDelay   = 3 * time.Millisecond
 )
 
@@ -112,7 +114,9 @@
 	out := Outcome{Policy: spec.Policy, Fault: spec.Fault, RelayWidth: spec.RelayWidth}
 	out.Load, err = loader.Run(ctx, e.load(spec.Duration, spec.Rate))
 	calm()
-	<-fault
+	if faultErr := <-fault; err == nil {
+		err = faultErr
+	}
 	for _, s := range w.Searchers {
 		most, _ := s.Connections()
 		out.Connections = max(out.Connections, most)
@@ -169,6 +173,8 @@
 		return e.straggle()
 	case LostDomain:
 		return e.lose(ctx)
+	case ShortShard:
+		return e.shorten(ctx)
 	case Poison:
 		return e.poison(ctx)
 	case Silence:
@@ -207,6 +213,19 @@
 	return e.tellOracle(bad)
 }
 
+// shorten leaves one searcher to each of the first services.
+func (e *experiment) shorten(ctx context.Context) error {
+	bad := map[modeler.SearcherName]bool{}
+	services := e.world.Configuration.Services
+	for _, s := range services[:min(ShortShards, len(services))] {
+		for _, x := range e.world.Of(s.Name)[1:] {
+			bad[x.Searcher.Name] = true
+			x.Crash(ctx, 0)
+		}
+	}
+	return e.tellOracle(bad)
+}
+
 // tellOracle takes the searchers out of the configuration that an oracle reads.
 func (e *experiment) tellOracle(bad map[modeler.SearcherName]bool) error {
 	if e.spec.Policy != Oracle {
