A call that is cancelled while its connection is on trial is not sent

Cause (read in the diff): the trial of a new connection may outlast the call; a hedge that was no longer wanted was sent all the same, and waited for within its linger. Change: a cancelled call gives its connection back unused. The caution of a VM that has just started has a name of its own, for suspicion already is that of silence.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -21,15 +21,15 @@
 
 // Dialer holds the connections of one VM to all searchers.
 type Dialer struct {
-	mu      sync.Mutex
-	pools   map[netip.AddrPort]*pool
-	budget  func(netip.AddrPort) int
-	now     func() time.Time
-	dial    func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
-	retired func(addr netip.AddrPort, detail string)
-	silence silence
-	wire    Wire
-	suspect func() bool
+	mu       sync.Mutex
+	pools    map[netip.AddrPort]*pool
+	budget   func(netip.AddrPort) int
+	now      func() time.Time
+	dial     func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	retired  func(addr netip.AddrPort, detail string)
+	silence  silence
+	wire     Wire
+	cautious func() bool
 }
 
 // Option changes a Dialer under construction.
@@ -49,19 +49,19 @@
 // WithWire sets how requests and answers look.
 func WithWire(w Wire) Option { return func(d *Dialer) { d.wire = w } }
 
-// WithSuspicion sets what tells that searchers may reset new connections though none has lately.
-func WithSuspicion(f func() bool) Option { return func(d *Dialer) { d.suspect = f } }
+// WithCaution sets what tells that searchers may reset new connections, though none was seen to do so lately.
+func WithCaution(f func() bool) Option { return func(d *Dialer) { d.cautious = f } }
 
 // NewDialer makes a dialer whose connections leave from the local address.
 func NewDialer(local netip.Addr, options ...Option) *Dialer {
 	from := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0)), KeepAlive: -1, Control: DetectSilence}
 	d := &Dialer{
-		wire:    OwnWire(),
-		pools:   map[netip.AddrPort]*pool{},
-		budget:  func(netip.AddrPort) int { return 1 },
-		now:     time.Now,
-		retired: func(netip.AddrPort, string) {},
-		suspect: func() bool { return false },
+		wire:     OwnWire(),
+		pools:    map[netip.AddrPort]*pool{},
+		budget:   func(netip.AddrPort) int { return 1 },
+		now:      time.Now,
+		retired:  func(netip.AddrPort, string) {},
+		cautious: func() bool { return false },
 		dial: func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
 			return from.DialContext(ctx, "tcp", addr.String())
 		},
@@ -129,9 +129,9 @@
 	if err != nil {
 		return Reply{Fault: gatherer.FaultNotSent, AtLimit: errors.Is(err, errAtLimit), Err: err}
 	}
-	if !d.now().Before(call.Deadline) {
-		p.put(c, c.lastRead)
-		return Reply{Fault: gatherer.FaultNotSent, Late: true}
+	if late := !d.now().Before(call.Deadline); late || ctx.Err() != nil {
+		p.putUnused(c)
+		return Reply{Fault: gatherer.FaultNotSent, Late: late, Err: context.Cause(ctx)}
 	}
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -361,7 +361,7 @@
 	defer d.mu.Unlock()
 	p := d.pools[a]
 	if p == nil {
-		p = &pool{addr: a, dial: d.dial, now: d.now, suspects: d.suspect, limit: d.budget(a)}
+		p = &pool{addr: a, dial: d.dial, now: d.now, cautious: d.cautious, limit: d.budget(a)}
 		d.pools[a] = p
 	}
 	return p
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -248,7 +248,7 @@
 
 func TestPoolShrinks(t *testing.T) {
 	u := startUpstream(t, answers)
-	p := &pool{addr: u.addr, limit: 2, now: time.Now, suspects: func() bool { return false }, dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return net.Dial("tcp", u.addr.String()) }}
+	p := &pool{addr: u.addr, limit: 2, now: time.Now, cautious: func() bool { return false }, dial: func(context.Context, netip.AddrPort) (net.Conn, error) { return net.Dial("tcp", u.addr.String()) }}
 	now := time.Now()
 	var held []*conn
 	for range 2 {
--- a/dialer/limit.go
+++ b/dialer/limit.go
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	c := newConn(raw)
-	if (p.isAtLimit(p.now()) || p.suspects()) && !p.survives(ctx, c, p.now().Sub(began)) {
+	if (p.isAtLimit(p.now()) || p.cautious()) && !p.survives(ctx, c, p.now().Sub(began)) {
 		return nil, errAtLimit
 	}
 	return c, nil
--- a/dialer/limit_test.go
+++ b/dialer/limit_test.go
@@ -1,6 +1,7 @@
 package dialer
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
@@ -69,10 +70,29 @@
 	}
 }
 
+// A call that is cancelled while its connection is still on trial is not sent, and the connection is kept.
+func TestCancelledCallsAreNotSent(t *testing.T) {
+	u := startUpstream(t, answers)
+	d := NewDialer(u.addr.Addr(), WithBudget(func(netip.AddrPort) int { return 4 }), WithCaution(func() bool { return true }))
+	defer d.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(LimitProbation/2, cancel)
+	if r := d.Do(ctx, Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)}); r.Fault != gatherer.FaultNotSent || r.AtLimit {
+		t.Errorf("a cancelled call ended as %s", r.Fault)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if n := u.requests.Load(); n > 0 {
+		t.Errorf("%d requests reached the searcher", n)
+	}
+	if r := d.Do(t.Context(), Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)}); r.Fault != gatherer.FaultNone {
+		t.Errorf("the next call ended as %s", r.Fault)
+	}
+}
+
 // A VM that has just started finds out before its first request.
-func TestNoRequestIsLostWhereResetsAreSuspected(t *testing.T) {
+func TestNoRequestIsLostByACautiousVM(t *testing.T) {
 	u := startFull(t, 0)
-	d := NewDialer(u.addr.Addr(), WithBudget(func(netip.AddrPort) int { return 4 }), WithSuspicion(func() bool { return true }))
+	d := NewDialer(u.addr.Addr(), WithBudget(func(netip.AddrPort) int { return 4 }), WithCaution(func() bool { return true }))
 	defer d.Close()
 	for range 5 {
 		r := d.Do(t.Context(), Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)})
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -13,7 +13,7 @@
 	addr     netip.AddrPort
 	dial     func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	now      func() time.Time
-	suspects func() bool
+	cautious func() bool
 	mu       sync.Mutex
 	idle     []*conn
 	open     int
@@ -124,6 +124,15 @@
 	p.idle = append(p.idle, c)
 }
 
+// putUnused gives back a connection on which nothing was sent.
+func (p *pool) putUnused(c *conn) {
+	since := c.lastRead
+	if c.isNew() {
+		since = p.now()
+	}
+	p.put(c, since)
+}
+
 // retire closes a connection in use, which the searcher may have ended before; after a silent one, no idle connection is trusted that was not read from since.
 func (p *pool) retire(c *conn, ended bool, silentSince time.Time) {
 	now := p.now()
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -27,7 +27,7 @@
 func (v *VM) dialerOptions() []dialer.Option {
 	options := []dialer.Option{dialer.WithBudget(v.connectionBudget), dialer.WithRetired(v.retired)}
 	if v.cfg.Routing != nil {
-		options = append(options, dialer.WithWire(platform.Searchers()), dialer.WithSuspicion(v.isUnsettled))
+		options = append(options, dialer.WithWire(platform.Searchers()), dialer.WithCaution(v.isUnsettled))
 	}
 	return options
 }
