Tests of connections on trial depend on no timing

Change: the call is cancelled as soon as its connection is open, and a connection is handed out once the stand-in has reset it. The checks are as they were; without the guard the first still fails.

--- a/dialer/limit_test.go
+++ b/dialer/limit_test.go
@@ -10,24 +10,40 @@
 	"github.com/pistachiogap/pistachiogap/gatherer"
 )
 
-// startFull starts a searcher that resets each connection beyond a number, once it is accepted.
-func startFull(t *testing.T, connections int) *upstream {
+// startFull starts a searcher that resets each connection beyond a number, and tells of each.
+func startFull(t *testing.T, connections int) (u *upstream, resets <-chan struct{}) {
 	t.Helper()
-	u := startUpstream(t, answers)
+	u = startUpstream(t, answers)
+	told := make(chan struct{}, 64)
 	u.setAdmit(func(c net.Conn, open int) bool {
 		if open <= connections {
 			return true
 		}
 		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+		told <- struct{}{}
 		return false
 	})
-	return u
+	return u, told
+}
+
+// awaitResets has the dialer return its connections once they are reset, however busy the machine is.
+func awaitResets(d *Dialer, resets <-chan struct{}) {
+	dial := d.dial
+	d.dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		c, err := dial(ctx, addr)
+		if err == nil {
+			<-resets
+		}
+		return c, err
+	}
 }
 
 // The load: a searcher whose connections are held by others, as after a loss of power. One request may be lost to find that out; those after it are not sent, so that they may be tried elsewhere at no cost.
 func TestRequestsAreNotSentOnConnectionsThatAreReset(t *testing.T) {
-	u := startFull(t, 0)
+	u, resets := startFull(t, 0)
 	d := newTestDialer(t, 4)
+	awaitResets(d, resets)
 	call := Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)}
 	notSent := 0
 	const calls = 20
@@ -50,12 +66,15 @@
 
 // A searcher that is at its limit is asked on the connections that are open, and on new ones once it takes them again.
 func TestOpenConnectionsOfASearcherAtItsLimitServe(t *testing.T) {
-	u := startFull(t, 1)
+	u, resets := startFull(t, 1)
 	d := newTestDialer(t, 4)
+	dial := d.dial
 	call := Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)}
 	if r := d.Do(t.Context(), call); r.Fault != gatherer.FaultNone {
 		t.Fatalf("the first call: %s", r.Fault)
 	}
+	awaitResets(d, resets)
+	d.pool(u.addr).dial = d.dial
 	d.Warm(t.Context(), u.addr)
 	if !d.AtLimit(u.addr) {
 		t.Fatal("a reset of a new connection was not noticed")
@@ -64,6 +83,7 @@
 		t.Errorf("on the open connection: %s", r.Fault)
 	}
 	u.setAdmit(func(net.Conn, int) bool { return true })
+	d.pool(u.addr).dial = dial
 	d.Warm(t.Context(), u.addr)
 	if open, _ := d.Open(); open != 2 {
 		t.Errorf("%d connections are open, not 2", open)
@@ -76,7 +96,13 @@
 	d := NewDialer(u.addr.Addr(), WithBudget(func(netip.AddrPort) int { return 4 }), WithCaution(func() bool { return true }))
 	defer d.Close()
 	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(LimitProbation/2, cancel)
+	defer cancel()
+	dial := d.dial
+	d.dial = func(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+		c, err := dial(ctx, addr)
+		cancel()
+		return c, err
+	}
 	if r := d.Do(ctx, Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)}); r.Fault != gatherer.FaultNotSent || r.AtLimit {
 		t.Errorf("a cancelled call ended as %s", r.Fault)
 	}
@@ -91,9 +117,10 @@
 
 // A VM that has just started finds out before its first request.
 func TestNoRequestIsLostByACautiousVM(t *testing.T) {
-	u := startFull(t, 0)
+	u, resets := startFull(t, 0)
 	d := NewDialer(u.addr.Addr(), WithBudget(func(netip.AddrPort) int { return 4 }), WithCaution(func() bool { return true }))
 	defer d.Close()
+	awaitResets(d, resets)
 	for range 5 {
 		r := d.Do(t.Context(), Call{Address: u.addr, Path: "/v1/search", Deadline: time.Now().Add(time.Second)})
 		if r.Fault != gatherer.FaultNotSent || !r.AtLimit {
