--- a/planner/pick.go
+++ b/planner/pick.go
@@ -125,10 +125,10 @@
 	return best, true
 }
 
-// SetUp says what a searcher's next request has to do before it can be sent.
+// SetUp says what has to be done before a request can be sent to a searcher.
 type SetUp uint8
 
-// What has to be done: nothing where a connection is open and free, else to open one, which the searcher may reset.
+// Nothing, where a connection is open and free; else one is opened, which a searcher at its limit is likely to reset.
 const (
 	NoSetUp SetUp = iota
 	Connect
--- a/scatterer/diagnose.go
+++ b/scatterer/diagnose.go
@@ -36,22 +36,22 @@
 	for _, r := range lost {
 		losses[v.Searchers[r].Domain]++
 	}
-	j := diagnosis{lost: len(lost)}
+	d := diagnosis{lost: len(lost)}
 	for domain, n := range losses {
 		switch s.domain(ctx, v, domain, c) {
 		case dialer.Alive:
-			j.inLive += n
+			d.inLive += n
 		case dialer.Dead:
-			j.inDead += n
+			d.inDead += n
 		}
 	}
 	switch {
-	case j.inLive >= gatherer.PoisonLosses:
-		j.verdict = gatherer.Poisonous
-	case j.inDead > 0:
-		j.verdict = gatherer.Innocent
+	case d.inLive >= gatherer.PoisonLosses:
+		d.verdict = gatherer.Poisonous
+	case d.inDead > 0:
+		d.verdict = gatherer.Innocent
 	}
-	return j
+	return d
 }
 
 // controls are the searchers whose state tells whether a failure domain is alive.
--- a/scatterer/suspect.go
+++ b/scatterer/suspect.go
@@ -22,15 +22,15 @@
 		if r.req.Forward != nil {
 			diagnose = r.s.diagnoseForward
 		}
-		j := diagnosis{lost: len(lost)}
+		d := diagnosis{lost: len(lost)}
 		var err error
 		func() {
 			defer spawner.Recover("diagnosis", &err)
-			j = diagnose(ctx, r.req.View, lost, c)
+			d = diagnose(ctx, r.req.View, lost, c)
 		}()
-		r.logDiagnosis(j)
+		r.logDiagnosis(d)
 		select {
-		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: j.verdict}}:
+		case r.ends <- end{event: gatherer.Event{Kind: gatherer.EventVerdict, Verdict: d.verdict}}:
 		case <-ctx.Done():
 		}
 	}()
@@ -50,7 +50,7 @@
 	}
 }
 
-// diagnoseLate judges a query that ended with losses and without any answer before enough of its attempts were lost.
+// diagnoseLate diagnoses a query that ended with losses and without any answer before enough of its attempts were lost.
 func (r *run) diagnoseLate(ctx context.Context) {
 	lost := r.query.Lost()
 	if r.req.Forward != nil {
@@ -62,17 +62,17 @@
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), JudgeTimeout)
 	defer cancel()
-	j := r.s.diagnose(ctx, r.req.View, lost, r.controls())
-	r.logDiagnosis(j)
-	if j.verdict == gatherer.Poisonous {
+	d := r.s.diagnose(ctx, r.req.View, lost, r.controls())
+	r.logDiagnosis(d)
+	if d.verdict == gatherer.Poisonous {
 		r.quarantine()
 	}
 }
 
 // logDiagnosis says what the losses of a request were taken for, and what decided it.
-func (r *run) logDiagnosis(j diagnosis) {
-	klog.InfoS("search: losses judged", "id", string(r.req.ID), "fingerprint", uint64(r.fingerprint), "verdict", j.verdict.String(),
-		"lost", j.lost, "in-live-domains", j.inLive, "in-dead-domains", j.inDead, "revision", uint64(r.req.View.Revision))
+func (r *run) logDiagnosis(d diagnosis) {
+	klog.InfoS("search: losses judged", "id", string(r.req.ID), "fingerprint", uint64(r.fingerprint), "verdict", d.verdict.String(),
+		"lost", d.lost, "in-live-domains", d.inLive, "in-dead-domains", d.inDead, "revision", uint64(r.req.View.Revision))
 }
 
 func (r *run) quarantine() {
--- a/server/close.go
+++ b/server/close.go
@@ -5,8 +5,8 @@
 	"net/http"
 )
 
-// toldToClose tells callers to use their connections no longer once the context has ended.
-func toldToClose(ctx context.Context, h http.Handler) http.Handler {
+// announceClose tells callers with each answer that its connection is closed, once the context has ended.
+func announceClose(ctx context.Context, h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.ServeHTTP(&closingWriter{ResponseWriter: w, ended: ctx.Err}, r)
 	})
--- a/server/serve.go
+++ b/server/serve.go
@@ -39,7 +39,7 @@
 // Serve runs a server until the context ends, then answers what was sent before, in the accept queue too, and stops within the grace; requests still open after it are cut.
 func Serve(ctx context.Context, s *http.Server, l net.Listener, grace time.Duration) error {
 	conns := track(s)
-	s.Handler = toldToClose(ctx, s.Handler)
+	s.Handler = announceClose(ctx, s.Handler)
 	closeListener := func() { _ = l.Close() }
 	if tcp, ok := l.(*net.TCPListener); ok {
 		q := &queueListener{TCPListener: tcp}
