observer: no answer ends a searcher's draining

Cause: TestScenarios/drain_upstream saw a searcher at work after its drain was reported. A query picks a searcher, the report comes, and then the attempt begins: EndDraining compared the begin with the report and took the answer as proof that the searcher is back. Pickers never choose a draining searcher, so every attempt was assigned before the report, and no answer can prove anything about it.

Change: EndDraining is gone. Draining lasts for DrainingMemory after the last report; a restarted searcher has a new state as before.

--- a/observer/constants.go
+++ b/observer/constants.go
@@ -43,8 +43,8 @@
 	// If more than the share MaxEjectedShare of a service's searchers cannot be used, ejected ones may be used too.
 	MaxEjectedShare = 0.5
 	// The cost of a searcher is multiplied by a factor that falls from ColdPenalty to 1 over SlowStart. This period
-	// begins at the end of an ejection or of draining, and for a searcher that has started (see SetSlowUntil) it ends
-	// when the searcher is no longer slow.
+	// begins at the end of an ejection, and for a searcher that has started (see SetSlowUntil) it ends when the searcher
+	// is no longer slow.
 	SlowStart   = 5 * time.Second
 	ColdPenalty = 4.0
 	// DrainingMemory is how long after the last report of draining a searcher counts as draining.
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -20,7 +20,6 @@
 	ejectedUntil   time.Time
 	ejections      int // since the last answer
 	drainingUntil  time.Time
-	drainingSince  time.Time
 	penaltyStart   time.Time // the cost is raised from this time on for SlowStart
 	snapshotsKnown bool      // the searcher has reported the snapshots of some index
 	snapshots      map[modeler.IndexName][]modeler.SnapshotID
@@ -130,14 +129,12 @@
 	s.inflight--
 }
 
-// MarkDraining records a report that the searcher is draining, and reports whether this is new.
+// MarkDraining records a report that the searcher is draining, and reports whether this is new. No answer ends the
+// draining: attempts go only to searchers that do not drain, so each was assigned before the report.
 func (s *Searcher) MarkDraining(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	isNew := !now.Before(s.drainingUntil)
-	if isNew {
-		s.drainingSince = now
-	}
 	s.drainingUntil = now.Add(DrainingMemory)
 	if isNew {
 		s.generation.Add(1)
@@ -145,19 +142,6 @@
 	return isNew
 }
 
-// EndDraining records an answer to an attempt sent at the given time. If that was after the first report that the
-// searcher is draining, the searcher is back in service and no longer counts as draining. An answer to an earlier
-// attempt proves nothing.
-func (s *Searcher) EndDraining(now, sent time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Before(s.drainingUntil) && sent.After(s.drainingSince) {
-		s.drainingUntil = now
-		s.penaltyStart = now
-		s.generation.Add(1)
-	}
-}
-
 // Draining reports whether the searcher counts as draining.
 func (s *Searcher) Draining(now time.Time) bool {
 	s.mu.Lock()
--- a/scatterer/learn.go
+++ b/scatterer/learn.go
@@ -26,9 +26,6 @@
 		if r.req.Forward == nil || a.Purpose == gatherer.Primary {
 			r.req.View.Services[searcher.Service].Health.Record(took)
 		}
-		if !res.reply.Draining {
-			health.EndDraining(now, now.Add(-took))
-		}
 	case ctx.Err() != nil && res.event.Fault == gatherer.FaultNotSent:
 		if !now.Before(r.req.Deadline) {
 			r.s.starvedAttempts.Add(1)
