--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -5,8 +5,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
-	"strconv"
 	"sync"
 	"time"
 
@@ -15,7 +13,6 @@
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
-	"github.com/pistachiogap/pistachiogap/parser"
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
@@ -223,154 +220,6 @@
 	return gatherer.FaultSilent
 }
 
-// Ping asks the searcher's load endpoint so that a silent connection is found before a request uses it.
-// It prefers the idle connection unread for longest, if it has been unread for at least ProvenPeriod;
-// otherwise it uses any idle connection or a new one.
-func (d *Dialer) Ping(ctx context.Context, addr netip.AddrPort, timeout time.Duration) (Load, error) {
-	p := d.pool(addr)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	c := p.oldestIdle(d.now())
-	if c == nil {
-		var err error
-		if c, err = p.take(ctx, d.now(), d.silence.minLastRead(), anyIdle); err != nil {
-			return Load{}, err
-		}
-	}
-	return d.load(ctx, p, c)
-}
-
-// load asks the searcher's load endpoint on the connection.
-func (d *Dialer) load(ctx context.Context, p *pool, c *conn) (Load, error) {
-	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(res)
-	req.SetRequestURI("/load")
-	req.Header.SetHost(p.addr.String())
-	req.Header.SetUserAgent(userAgent)
-	sent := d.now()
-	if silent, err := c.exchange(ctx, req, res, 0, MaxAnswerBytes); err != nil {
-		d.handleFailure(ctx, p, c, sent, silent)
-		return Load{}, err
-	}
-	d.returnConn(p, c, res)
-	if res.StatusCode() != fasthttp.StatusOK {
-		return Load{}, &loadStatusError{res.StatusCode()}
-	}
-	return parser.DecodeStrict[Load](res.Body())
-}
-
-// loadStatusError reports a load endpoint that answered with a status other than 200.
-type loadStatusError struct{ status int }
-
-// Error implements error.
-func (e *loadStatusError) Error() string {
-	return "load endpoint answered a status other than 200: " + strconv.Itoa(e.status)
-}
-
-// Liveness is the result of Dialer.Check.
-type Liveness uint8
-
-// Results of a check.
-const (
-	Unclear Liveness = iota // neither of the below within the timeout
-	Alive                   // the searcher answered, or accepted a connection if it has no load endpoint
-	Dead                    // the connection was refused or reset
-)
-
-// Check tests whether a searcher is alive. It takes a connection as a call with NewConnection does and asks the
-// searcher's load endpoint, if it has one.
-func (d *Dialer) Check(ctx context.Context, addr netip.AddrPort, timeout time.Duration) Liveness {
-	p := d.pool(addr)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	c, err := p.take(ctx, d.now(), time.Time{}, newOnly)
-	switch {
-	case err != nil:
-	case d.wire.HasLoad:
-		_, err = d.load(ctx, p, c)
-	default:
-		p.put(c, d.now())
-	}
-	var statusErr *loadStatusError
-	switch {
-	case err == nil, errors.As(err, &statusErr):
-		return Alive
-	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded):
-		// The socket's deadline may fire before the context's.
-		return Unclear
-	}
-	return Dead
-}
-
-// Trim applies the budgets, closes connections idle for longer than IdleLimit,
-// and drops the pools of searchers that are not in keep.
-func (d *Dialer) Trim(keep map[netip.AddrPort]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.now()
-	for a, p := range d.pools {
-		if !keep[a] {
-			p.close()
-			delete(d.pools, a)
-			continue
-		}
-		p.trim(now, d.budget(a))
-	}
-}
-
-// TrimIdle closes the connections to a searcher that have been idle for longer than limit.
-func (d *Dialer) TrimIdle(a netip.AddrPort, limit time.Duration) {
-	if p := d.find(a); p != nil {
-		p.trimIdle(d.now(), limit)
-	}
-}
-
-// HasIdle reports whether the VM has an idle connection to the searcher.
-func (d *Dialer) HasIdle(a netip.AddrPort) bool {
-	p := d.find(a)
-	return p != nil && p.hasIdle()
-}
-
-// NeedsWarming drops idle connections that the searcher has closed,
-// and reports whether none is left and the budget allows another one.
-func (d *Dialer) NeedsWarming(a netip.AddrPort) bool { return d.pool(a).needsWarming(d.now()) }
-
-// Warm opens a connection to the searcher and keeps it as idle, unless it is reset at once.
-func (d *Dialer) Warm(ctx context.Context, a netip.AddrPort) {
-	p := d.pool(a)
-	start := d.now()
-	c, err := p.take(ctx, start, time.Time{}, newOnly)
-	if err != nil || !p.survives(ctx, c, d.now().Sub(start)) {
-		return
-	}
-	p.put(c, d.now())
-}
-
-// Rebudget applies the budgets at once. It is called when the set of VMs that share a searcher's connections changes.
-func (d *Dialer) Rebudget() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for a, p := range d.pools {
-		p.trim(d.now(), d.budget(a))
-	}
-}
-
-// ConnectionCounts returns the number of connections that the VM holds, and of calls that wait for one.
-func (d *Dialer) ConnectionCounts() (open, waiting int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, p := range d.pools {
-		o, w := p.size()
-		open += o
-		waiting += w
-	}
-	return open, waiting
-}
-
-// Close closes all idle connections. Connections in use are closed when their calls end.
-func (d *Dialer) Close() { d.Trim(nil) }
-
 // find returns the pool of a searcher, or nil if there is none yet.
 func (d *Dialer) find(a netip.AddrPort) *pool {
 	d.mu.Lock()
--- /dev/null
+++ b/server/refusal.go
@@ -0,0 +1,54 @@
+package server
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/refuser"
+	"github.com/pistachiogap/pistachiogap/scatterer"
+)
+
+// refusalWithoutAnswer returns the refusal of a request that no searcher or too few shards answered. Its kind says
+// that the request was not run only if that is proved. Otherwise it is Unserved, which leaves open whether the
+// request ran.
+func refusalWithoutAnswer(res *scatterer.Result, detail string) error {
+	switch {
+	case res.Crashed:
+		return refuser.New(refuser.Unserved, "the request crashed searchers and was stopped")
+	case !res.MayHaveRun && res.Faults == (gatherer.FaultCounts{}):
+		return refuser.New(refuser.Unregistered, "%s: too few searchers are registered", detail)
+	case !res.MayHaveRun && res.Shed > 0:
+		return refuser.New(refuser.Overloaded, "%s: searchers refused it", detail)
+	case !res.MayHaveRun:
+		return refuser.New(refuser.NoSearcher, "%s: no searcher could take it", detail)
+	}
+	return refuser.New(refuser.Unserved, "%s", detail)
+}
+
+// routeRetryAfter returns how long a refused caller should wait. A VM at its limit soon has a free slot; a VM without a
+// configuration or without searchers has to wait for the store.
+func routeRetryAfter(k refuser.Kind) time.Duration {
+	switch k {
+	case refuser.Unconfigured, refuser.Unregistered:
+		return StoreRetryAfter
+	}
+	return RouteRetryAfter
+}
+
+// refuse writes the refusal within err as plain text, with the status that its error kind has in refuser's table. The
+// answer has a Retry-After header, which may be a fraction of a second, only if the request was provably not run.
+func (h *RouteHandler) refuse(w http.ResponseWriter, err error, out *RouteResult) {
+	refusal := refuser.From(err)
+	row := refuser.Lookup(refusal.Kind)
+	if row.RetryAfter > 0 && row.NotRun == refuser.Yes {
+		w.Header().Set("Retry-After", strconv.FormatFloat(routeRetryAfter(refusal.Kind).Seconds(), 'g', -1, 64))
+	}
+	out.Outcome, out.Detail, out.Status = string(refusal.Kind), refusal.Detail, row.Status
+	w.Header().Set("Content-Type", "text/plain")
+	body := []byte(refusal.Error() + "\n")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(row.Status)
+	_, _ = w.Write(body)
+}
