observer, gossiper: VMs announce slow searchers to each other

Change: each answer of a shard is compared with the time after which half of the shards of its query had answered, which a slow searcher does not move, as it moves the typical latency of its service. Two answers in a row that took five times as long, to attempts that followed each other (so no single pause explains them), are announced with the membership's packets, in one round, valid for five seconds whatever the sender's clock. A report raises a searcher's cost until a usual answer of the VM's own, excludes nothing, and ends at different times on different VMs.

Tried on the way and dropped: a fixed factor of the typical latency; three answers in a row; one unanswered attempt as proof (a VM that is cut off would announce sound searchers).

--- a/gossiper/constants.go
+++ b/gossiper/constants.go
@@ -52,6 +52,10 @@
 	// SyncPeriod is the longest wait between two comparisons of a VM's members with those of a peer. The runner waits for
 	// a random time from half of it to all of it, and for less while many members are missing.
 	SyncPeriod = 30 * time.Second
+	// MaxSlowValidity is how long news of a slow searcher is valid at most, whatever the sender's time of day.
+	MaxSlowValidity = 5 * time.Second
+	// MinSlowExtension is by how much such news must extend the validity of the copy known to be spread again.
+	MinSlowExtension = time.Second
 	// macBytes is the length of the truncated authentication code at the end of a datagram.
 	macBytes = 16
 )
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -64,6 +64,7 @@
 	NewsDraining                       // a draining searcher
 	NewsStoreLost                      // a VM that cannot read the platform's store
 	NewsSuspect                        // a request that may have crashed one searcher; not related to the state Suspect
+	NewsSlow                           // a searcher whose answers take much longer than usual for its service
 )
 
 // News is a fact that every VM has to know at once. It concerns either a request, given by Fingerprint, or a searcher
@@ -130,10 +131,10 @@
 
 func newsFromWire(w *messenger.News) (News, error) {
 	n := News{Kind: NewsKind(w.GetKind()), Fingerprint: w.GetSubject(), Until: time.UnixMilli(w.GetUntilMillis())}
-	if n.Kind < NewsQuarantine || n.Kind > NewsSuspect {
+	if n.Kind < NewsQuarantine || n.Kind > NewsSlow {
 		return News{}, errors.Errorf("news has unknown kind %d", w.GetKind())
 	}
-	if n.Kind == NewsDraining || n.Kind == NewsStoreLost {
+	if n.Kind == NewsDraining || n.Kind == NewsStoreLost || n.Kind == NewsSlow {
 		a, err := netip.ParseAddrPort(w.GetAddress())
 		if err != nil {
 			return News{}, err
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -79,15 +79,23 @@
 	n.fanOutsLeft = RumorRounds
 }
 
-// mergeNews adds and spreads news that is unknown, or that is valid for longer than the copy known.
+// mergeNews adds and spreads news that is unknown, or that is valid for longer than the copy known. News of slow
+// searchers is cut to MaxSlowValidity, and spread again only if it extends the copy known by MinSlowExtension.
 func (n *Node) mergeNews(now time.Time, x News, out []Action) []Action {
-	if !now.Before(x.Until) || !x.Until.After(n.news[x.key()].Until) {
+	known := n.news[x.key()].Until
+	if x.Kind == NewsSlow {
+		if limit := now.Add(MaxSlowValidity); x.Until.After(limit) {
+			x.Until = limit // the sender's time of day may be ahead
+		}
+		known = known.Add(MinSlowExtension)
+	}
+	if !now.Before(x.Until) || !x.Until.After(known) {
 		return out
 	}
-	n.news[x.key()] = x
-	n.rumors = append(n.rumors, &rumor{news: &x})
-	n.fanOutsLeft = RumorRounds
-	n.nextFanOut = now
+	n.addNews(x)
+	if x.Kind != NewsSlow {
+		n.nextFanOut = now
+	}
 	return append(out, Action{Kind: ActionNews, News: x})
 }
 
@@ -107,12 +115,24 @@
 	if !x.Until.After(n.news[x.key()].Until) {
 		return out
 	}
-	n.news[x.key()] = x
-	n.rumors = append(n.rumors, &rumor{news: &x})
-	n.fanOutsLeft = RumorRounds
+	n.addNews(x)
 	return n.fanOut(now, out)
 }
 
+// addNews keeps a piece of news and queues it as a rumor. News of slow searchers may come for many searchers at once and
+// is sent in one round only.
+func (n *Node) addNews(x News) {
+	n.news[x.key()] = x
+	r := &rumor{news: &x}
+	rounds := RumorRounds
+	if x.Kind == NewsSlow {
+		r.maxTransmissions = FanOut
+		rounds = 1
+	}
+	n.rumors = append(n.rumors, r)
+	n.fanOutsLeft = max(n.fanOutsLeft, rounds)
+}
+
 // SetHead records the configuration revision that this VM holds. A later revision than the last is spread at once.
 func (n *Node) SetHead(now time.Time, head modeler.Revision, out []Action) []Action {
 	if head <= n.head {
--- a/gossiper/spread.go
+++ b/gossiper/spread.go
@@ -45,7 +45,9 @@
 			r.transmissions++
 		}
 	}
-	n.rumors = slices.DeleteFunc(n.rumors, func(r *rumor) bool { return r.transmissions >= limit })
+	n.rumors = slices.DeleteFunc(n.rumors, func(r *rumor) bool {
+		return r.transmissions >= limit || (r.maxTransmissions > 0 && r.transmissions >= r.maxTransmissions)
+	})
 	return size
 }
 
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -14,6 +14,26 @@
 	// SlowAnswers is how many slow answers in a row make a searcher count as slow with WithPauses.
 	SlowAnswers = 2
 
+	// An answer of one shard shows that its searcher is slow if its service time is above SlowFactor times the reference,
+	// the time after which half of the query's shards had answered, and that it is not if it is below NotSlowFactor times
+	// the reference. References below MinReference count as MinReference. SlowInARow slow answers make a searcher slow, if
+	// each attempt began within SlowGap after the slow answer before.
+	SlowFactor    = 5.0
+	NotSlowFactor = 1.5
+	MinReference  = 6 * time.Millisecond
+	SlowInARow    = 2
+	SlowGap       = 2 * time.Second
+	// A report that a searcher is slow is valid for MaxReportValidity at most, and used for at least the share MinReportUse
+	// of its validity. It is renewed once it stays valid for less than ReportRenewal.
+	MaxReportValidity = 5 * time.Second
+	ReportRenewal     = 2500 * time.Millisecond
+	MinReportUse      = 0.5
+	// A VM that has sent a service MaxReportRate attempts in about the last RateDecay uses no reports of its searchers.
+	MaxReportRate = 10.0
+	RateDecay     = time.Second
+	// ReportedFactor times the typical latency of its service is expected of a reported searcher.
+	ReportedFactor = 10.0
+
 	// TypicalWeight is the least weight of one answer in a service's typical latency.
 	TypicalWeight = 0.05
 	// HedgeAfterTypical, the hedge delay on routes, is TypicalHedge times the typical latency of the service, and at
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -30,6 +30,8 @@
 	waitingSince   time.Time // last answer, or the start of an attempt while no other was under way
 	slowAnswers    int       // in a row
 	lastSlow       time.Time
+	slowness       slowDetector
+	report         slowReport
 	refusals       float64 // share of attempts refused, a moving average as of lastRefusal
 	lastRefusal    time.Time
 }
@@ -49,6 +51,9 @@
 		s.waitingSince = now
 	}
 	s.inflight++
+	if s.service != nil {
+		s.service.countAttempt(now)
+	}
 }
 
 // Answered records the end of an attempt that was answered after the given latency.
@@ -186,7 +191,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	queue := 1 + float64(s.inflight)/float64(max(1, slots))
-	cost := s.expectedLatency(now)*queue + float64(networkDelay) + s.refusalShare(now)*float64(RefusalCost)
+	cost := max(s.expectedLatency(now), s.reportedLatency(now))*queue + float64(networkDelay) + s.refusalShare(now)*float64(RefusalCost)
 	if since := now.Sub(s.penaltyStart); since >= 0 && since < SlowStart {
 		cost *= ColdPenalty - (ColdPenalty-1)*float64(since)/float64(SlowStart)
 	}
--- a/observer/service.go
+++ b/observer/service.go
@@ -19,6 +19,7 @@
 	computedAt     time.Time
 	typicalLatency atomic.Uint64 // float64 bits, in nanoseconds
 	noSamples      atomic.Bool
+	attempts       decayingCount
 }
 
 // NewService makes a service without samples. The histogram is allocated with the first sample.
@@ -32,6 +33,20 @@
 // TypicalLatency returns the typical latency of the service's answers, in nanoseconds.
 func (s *Service) TypicalLatency() float64 { return math.Float64frombits(s.typicalLatency.Load()) }
 
+// countAttempt counts an attempt at one of the service's searchers.
+func (s *Service) countAttempt(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts.add(now)
+}
+
+// attemptRate returns how many attempts were counted in about the last RateDecay.
+func (s *Service) attemptRate(now time.Time) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempts.value(now)
+}
+
 // HedgeAfterTypical returns a hedge delay that is a multiple of the typical latency.
 // Pauses of searchers raise a high quantile, but hardly the typical latency.
 func (s *Service) HedgeAfterTypical() time.Duration {
--- a/runner/news.go
+++ b/runner/news.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -26,6 +27,9 @@
 		}
 	case gossiper.NewsStoreLost:
 		v.storeLosses.record(n.Address, now)
+	case gossiper.NewsSlow:
+		v.counter("searchers.told-slow").Inc(1)
+		v.observer.Searcher(n.Address).ReportSlow(now, n.Until, rand.Float64())
 	case gossiper.NewsDraining:
 		if v.observer.Searcher(n.Address).MarkDraining(now) {
 			v.recorder.Record(recorder.Event{Kind: recorder.SearcherDraining, Detail: "told by a peer: " + n.Address.String()})
@@ -53,6 +57,15 @@
 	}
 }
 
+// announceSlow announces until the given time that a searcher's answers take much longer than usual for its service.
+func (v *VM) announceSlow(s *planner.Searcher, until time.Time) {
+	klog.InfoS("upstream: searcher is slow", "searcher", string(s.Name), "address", s.Address.String(), "expected-ms", s.Health.CurrentState(time.Now()).Latency.Milliseconds())
+	v.counter("searchers.found-slow").Inc(1)
+	if v.mechanisms.BroadcastNews {
+		v.gossip.Broadcast(gossiper.News{Kind: gossiper.NewsSlow, Address: s.Address, Until: until})
+	}
+}
+
 // announceDrainingInBand announces a searcher that reported in an answer to a request that it is draining.
 func (v *VM) announceDrainingInBand(s *planner.Searcher) { v.announceDraining(s.Address, "in band") }
 
--- a/scatterer/constants.go
+++ b/scatterer/constants.go
@@ -14,5 +14,6 @@
 	StallFactor      = 2.5                    // stall limit of a single-shard request, in typical latencies of its service
 	PartLinger       = 300 * time.Millisecond // Linger of the calls of a multi-shard request on a route; see dialer.Call
 	SingleLinger     = 20 * time.Millisecond  // Linger of the calls of a single-shard request on a route
+	MinCompared      = 4                      // shards that a request needs for their times to be compared
 	extraResults     = 16                     // room in the result channel for extra attempts and verdicts
 )
--- a/scatterer/learn.go
+++ b/scatterer/learn.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/planner"
 )
 
 // updateHealth records the result of an attempt in the health of its searcher and in the latency of its service.
@@ -23,6 +24,7 @@
 		health.Failed(now, false) // false: the searcher was reached
 	case res.event.Kind == gatherer.EventAnswer:
 		health.Answered(now, took)
+		r.compareServiceTime(now, searcher, took)
 		if r.req.Forward == nil || a.Purpose == gatherer.Primary {
 			r.req.View.Services[searcher.Service].Health.Record(took)
 		}
@@ -44,6 +46,25 @@
 	}
 }
 
+// compareServiceTime compares the time that one shard took with that of the others, and announces its searcher if it is
+// slow.
+func (r *run) compareServiceTime(now time.Time, s *planner.Searcher, took time.Duration) {
+	if r.req.Forward == nil || len(r.req.Snapshot.Shards) < MinCompared {
+		return
+	}
+	s.Health.CompareServiceTime(now, now.Add(-took), took-s.RoundTrip, time.Duration(r.halfAnsweredAfter.Load()))
+	if until, slow := s.Health.TakeSlow(now); slow {
+		r.s.onSlow(s, until)
+	}
+}
+
+// noteHalfAnswered sets halfAnsweredAfter once half of the shards have answered.
+func (r *run) noteHalfAnswered(now time.Time) {
+	if r.halfAnsweredAfter.Load() == 0 && 2*r.query.AnsweredShards() >= len(r.plan.Shards) {
+		r.halfAnsweredAfter.Store(int64(now.Sub(r.startedAt)))
+	}
+}
+
 // isSearcherFault reports whether the searcher is to blame for a fault: it could not be reached, closed the connection,
 // stayed silent, or answered with an error or with something that cannot be read. It is not to blame if the deadline
 // passed before the attempt was sent, or if it is at its connection limit, since it still serves its open connections.
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -26,32 +26,34 @@
 	mismatch bool // the answer's claim differs from what the attempt asked for
 }
 
-// run is one query under way. Only shedAttempts is written by the goroutines of its attempts.
+// run is one query under way. Only shedAttempts is written by the goroutines of its attempts, which also read
+// halfAnsweredAfter.
 type run struct {
-	s                *Scatterer
-	req              Request
-	picker           planner.Picker
-	fingerprint      observer.Fingerprint
-	attemptPrefix    string // of the attempt ids of this run
-	query            *gatherer.Query
-	plan             gatherer.Plan
-	answeredShards   []bool // by shard
-	results          chan attemptResult
-	hedgeBudget      *limiter.Budget
-	retryBudget      *limiter.Budget
-	cancels          []context.CancelFunc // by attempt
-	attemptSearchers []int32              // by attempt
-	startedAt        time.Time
-	reachedSearchers map[int32]bool // searchers that were sent an attempt
-	hits             []dialer.Hit
-	shardReplies     []ShardReply  // of a request on a route
-	rejection        *dialer.Reply // the last reply with FaultRejected
-	faultCounts      gatherer.FaultCounts
-	events           []recorder.Event
-	isSampled        bool // the events are kept even if the query is complete without extra attempts
-	shedAttempts     atomic.Int64
-	quarantined      bool
-	snapshotNotHeld  bool
+	s                 *Scatterer
+	req               Request
+	picker            planner.Picker
+	fingerprint       observer.Fingerprint
+	attemptPrefix     string // of the attempt ids of this run
+	query             *gatherer.Query
+	plan              gatherer.Plan
+	answeredShards    []bool // by shard
+	results           chan attemptResult
+	hedgeBudget       *limiter.Budget
+	retryBudget       *limiter.Budget
+	cancels           []context.CancelFunc // by attempt
+	attemptSearchers  []int32              // by attempt
+	startedAt         time.Time
+	reachedSearchers  map[int32]bool // searchers that were sent an attempt
+	hits              []dialer.Hit
+	shardReplies      []ShardReply  // of a request on a route
+	rejection         *dialer.Reply // the last reply with FaultRejected
+	faultCounts       gatherer.FaultCounts
+	events            []recorder.Event
+	isSampled         bool // the events are kept even if the query is complete without extra attempts
+	shedAttempts      atomic.Int64
+	halfAnsweredAfter atomic.Int64 // nanoseconds from the start; 0 until half of the shards have answered
+	quarantined       bool
+	snapshotNotHeld   bool
 }
 
 func newRun(s *Scatterer, req Request) *run {
@@ -195,6 +197,7 @@
 		r.recordAttempt(recorder.AttemptCancelled, a)
 	case gatherer.ActionMerge:
 		r.observeAnswer(a)
+		r.noteHalfAnswered(r.s.now())
 		r.hits = append(r.hits, res.hits...)
 		if r.req.Forward != nil {
 			r.shardReplies = append(r.shardReplies, ShardReply{a.Shard, res.reply})
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -32,6 +32,7 @@
 	hold            func(cleared bool) bool
 	matches         func(want, got gatherer.Claim) bool
 	onDraining      func(*planner.Searcher)
+	onSlow          func(s *planner.Searcher, until time.Time)
 	onQuarantine    func(observer.Fingerprint, time.Time)
 	onSuspect       func(observer.Fingerprint, time.Time)
 	spend           func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
@@ -56,6 +57,11 @@
 // WithOnDraining sets the callback for a searcher that was found to be draining.
 func WithOnDraining(f func(*planner.Searcher)) Option { return func(s *Scatterer) { s.onDraining = f } }
 
+// WithOnSlow sets the callback for a searcher that the other VMs should be told is slow, until the given time.
+func WithOnSlow(f func(s *planner.Searcher, until time.Time)) Option {
+	return func(s *Scatterer) { s.onSlow = f }
+}
+
 // WithOnQuarantine sets the callback for a request that crashes searchers, with the time until which it is quarantined.
 func WithOnQuarantine(f func(observer.Fingerprint, time.Time)) Option {
 	return func(s *Scatterer) { s.onQuarantine = f }
@@ -105,6 +111,7 @@
 		hold:          gatherer.HoldUntilCleared,
 		matches:       gatherer.MatchesExactly,
 		onDraining:    func(*planner.Searcher) {},
+		onSlow:        func(*planner.Searcher, time.Time) {},
 		onQuarantine:  func(observer.Fingerprint, time.Time) {},
 		onSuspect:     func(observer.Fingerprint, time.Time) {},
 		spend:         SpendBudgets,
