scatterer: hedges that an answer needs may use more of the allowance

Change: a hedge may use 0.95 of the VM's part while more shards are unanswered than may be missing, and 0.5 of it where it only completes the answer; before, 0.7 in both cases. Single requests keep 0.7, retries all of it; the fleet's bound is unchanged.

--- /dev/null
+++ b/scatterer/fleet_test.go
@@ -0,0 +1,366 @@
+package scatterer
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
+	"github.com/pistachiogap/pistachiogap/planner"
+)
+
+// fleetLoad is a load on a fleet of VMs, played in simulated time with the decisions of the tier: planner.Picker,
+// gatherer.Query, limiter.Windows and the health of searchers. Each failure domain is a region of its own and has one
+// searcher of each service.
+type fleetLoad struct {
+	vms, shards   int
+	kinds         []fleetKind
+	slots         int
+	pause         time.Duration // of a searcher, once in pausePeriod
+	pausePeriod   time.Duration
+	slowFrom      time.Duration
+	slowUntil     time.Duration
+	slowSearchers int // each of another shard
+	slowFactor    float64
+	duration      time.Duration
+	announceTime  time.Duration // that an announcement takes to reach all VMs; 0 if VMs announce nothing
+	equalShares   bool          // all hedges may use the same part of the allowance
+}
+
+// fleetKind is one kind of query over all shards.
+type fleetKind struct {
+	name      string
+	rate      float64 // per second, over the fleet
+	work      time.Duration
+	objective time.Duration
+	coverage  float64
+}
+
+const (
+	fleetDomains   = 3
+	fleetLinkDelay = 12 * time.Millisecond // one way, between two failure domains
+	fleetLimit     = 1500 * time.Millisecond
+)
+
+// fleetOutcome counts the queries that began in a span of time.
+type fleetOutcome struct{ queries, late, partial int }
+
+// fleet is the state of one play of a load.
+type fleet struct {
+	fleetLoad
+	random    *rand.Rand
+	start     time.Time
+	now       time.Time
+	events    fleetEvents
+	vms       []*fleetVM
+	searchers []fleetSearcher // in the order of the views
+	outcomes  map[string]*fleetOutcome
+}
+
+type fleetVM struct {
+	view     *planner.View
+	snapshot *planner.Snapshot
+	windows  *limiter.Windows
+	domain   string
+}
+
+type fleetSearcher struct {
+	freeAt []time.Time // by slot
+	slow   bool
+	phase  time.Duration // of the pauses
+}
+
+type fleetEvent struct {
+	at  time.Time
+	run func()
+}
+
+type fleetEvents []fleetEvent
+
+func (e fleetEvents) Len() int           { return len(e) }
+func (e fleetEvents) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e fleetEvents) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *fleetEvents) Push(x any)        { *e = append(*e, x.(fleetEvent)) }
+func (e *fleetEvents) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (f *fleet) after(d time.Duration, run func()) {
+	heap.Push(&f.events, fleetEvent{f.now.Add(d), run})
+}
+
+func domainName(n int) string { return fmt.Sprintf("domain-%d", n%fleetDomains) }
+
+func newFleet(load fleetLoad) *fleet {
+	start := time.Now()
+	f := &fleet{fleetLoad: load, random: rand.New(rand.NewPCG(1, 2)), start: start, now: start, outcomes: map[string]*fleetOutcome{}}
+	c := modeler.Configuration{}
+	snapshot := planner.Snapshot{}
+	for i := range load.shards {
+		s := modeler.Service{Name: modeler.ServiceName(fmt.Sprintf("desk-%d", i)), Contract: modeler.Contract{Slots: load.slots}}
+		for d := range fleetDomains {
+			s.Searchers = append(s.Searchers, modeler.Searcher{
+				Name: modeler.SearcherName(fmt.Sprintf("desk-%d-%d", i, d)), FailureDomain: modeler.FailureDomain(domainName(d)),
+				Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(d), byte(i), 1}), 80),
+			})
+			f.searchers = append(f.searchers, fleetSearcher{
+				freeAt: make([]time.Time, load.slots),
+				slow:   i < load.slowSearchers && d == i%fleetDomains,
+				phase:  time.Duration(f.random.Float64() * float64(load.pausePeriod)),
+			})
+		}
+		c.Services = append(c.Services, s)
+		snapshot.Shards = append(snapshot.Shards, planner.Shard{Name: modeler.ShardName(s.Name), Service: int32(i), Documents: 1})
+	}
+	allowance := limiter.Allowance{Ratio: 0.2, Slack: 2.5 * float64(load.vms), Window: 10 * time.Second}
+	for i := range load.vms {
+		var links []modeler.Link
+		for d := range fleetDomains {
+			if domainName(d) != domainName(i) {
+				links = append(links, modeler.Link{From: modeler.FailureDomain(domainName(i)), To: modeler.FailureDomain(domainName(d)), Delay: modeler.Duration{Duration: fleetLinkDelay}})
+			}
+		}
+		f.vms = append(f.vms, &fleetVM{
+			view:     planner.NewView(1, modeler.FailureDomain(domainName(i)), links, []modeler.Configuration{c}, observer.NewObserver(observer.WithPauses())),
+			snapshot: &snapshot, domain: domainName(i),
+			windows: limiter.NewWindows(allowance, func() int { return load.vms }),
+		})
+	}
+	return f
+}
+
+// play plays the whole load and returns the outcomes by kind and by failure domain, of the queries that began from the
+// given time on until the slowness ends.
+func (f *fleet) play(from time.Duration) map[string]*fleetOutcome {
+	for k := range f.kinds {
+		f.scheduleQueries(&f.kinds[k], from)
+	}
+	for len(f.events) > 0 {
+		e := heap.Pop(&f.events).(fleetEvent)
+		f.now = e.at
+		e.run()
+	}
+	return f.outcomes
+}
+
+func (f *fleet) scheduleQueries(k *fleetKind, from time.Duration) {
+	for at := time.Duration(0); at < f.duration; {
+		at += time.Duration(f.random.ExpFloat64() / k.rate * float64(time.Second))
+		vm := f.vms[f.random.IntN(len(f.vms))]
+		counted := at >= from && at < f.slowUntil
+		heap.Push(&f.events, fleetEvent{f.start.Add(at), func() { f.startQuery(vm, k, counted) }})
+	}
+}
+
+// fleetQuery is one query under way on a VM.
+type fleetQuery struct {
+	f         *fleet
+	vm        *fleetVM
+	kind      *fleetKind
+	q         *gatherer.Query
+	startedAt time.Time
+	half      time.Duration
+	searchers []int32 // by attempt
+	sentAt    []time.Time
+	counted   bool
+}
+
+func (f *fleet) startQuery(vm *fleetVM, k *fleetKind, counted bool) {
+	r := &fleetQuery{f: f, vm: vm, kind: k, startedAt: f.now, counted: counted}
+	plan := gatherer.Plan{
+		Deadline: f.now.Add(fleetLimit), Patience: f.now.Add(k.objective - 22*time.Millisecond), LeastCoverage: k.coverage,
+		Probes: gatherer.CanaryProbes, MaxRuns: 3, FailFast: true, PayForAll: true, KnownGood: true,
+	}
+	for _, s := range vm.snapshot.Shards {
+		plan.Shards = append(plan.Shards, gatherer.Shard{Name: s.Name, Documents: 1})
+		vm.windows.Earn(f.now, vm.view.Services[s.Service].Name)
+	}
+	picker := planner.Picker{View: vm.view, Snapshot: vm.snapshot, Random: f.random.IntN, StallLimit: StallLimit}
+	r.q = gatherer.NewQuery(plan, gatherer.Hooks{
+		Pick: picker.Pick,
+		Spend: func(now time.Time, shard int32, p gatherer.Purpose) bool {
+			share := allowanceShare(p, f.shards, f.shards-r.q.AnsweredShards(), maxMissing(f.shards, k.coverage))
+			if f.equalShares && p != gatherer.Retry {
+				share = limiter.NonRetryShare
+			}
+			return vm.windows.Spend(now, vm.view.Services[shard].Name, share)
+		},
+		HedgeAfter: func(shard int32) time.Duration { return vm.view.Services[shard].Health.HedgeAfterTypical() },
+		Hold:       func(bool) bool { return false },
+		Matches:    func(_, _ gatherer.Claim) bool { return true },
+	})
+	r.handle(&gatherer.Event{Kind: gatherer.EventStart})
+}
+
+func (r *fleetQuery) handle(ev *gatherer.Event) {
+	wasDone := r.q.Done()
+	for _, a := range r.q.Handle(r.f.now, ev, nil) {
+		if a.Kind == gatherer.ActionSend {
+			r.send(a)
+		}
+	}
+	if r.half == 0 && 2*r.q.AnsweredShards() >= r.f.shards {
+		r.half = r.f.now.Sub(r.startedAt)
+	}
+	if r.q.Done() {
+		if !wasDone {
+			r.count()
+		}
+		return
+	}
+	if next := r.q.NextTick(r.f.now); ev.Kind != gatherer.EventAnswer {
+		r.f.after(max(0, next.Sub(r.f.now)), func() {
+			if !r.q.Done() {
+				r.handle(&gatherer.Event{Kind: gatherer.EventTick})
+			}
+		})
+	}
+}
+
+func (r *fleetQuery) count() {
+	if !r.counted {
+		return
+	}
+	for _, key := range []string{r.kind.name, r.vm.domain} {
+		o := r.f.outcomes[key]
+		if o == nil {
+			o = &fleetOutcome{}
+			r.f.outcomes[key] = o
+		}
+		o.queries++
+		if r.f.now.Sub(r.startedAt) > r.kind.objective {
+			o.late++
+		}
+		if r.q.AnsweredShards() < r.f.shards {
+			o.partial++
+		}
+	}
+}
+
+// send plays an attempt: the way to the searcher, its queue and work, and the way back.
+func (r *fleetQuery) send(a gatherer.Action) {
+	s := &r.vm.view.Searchers[a.Searcher]
+	s.Health.Begin(r.f.now)
+	sent := r.f.now
+	r.f.after(s.RoundTrip/2, func() {
+		end := r.f.serve(int(a.Searcher), r.kind.work)
+		r.f.after(end.Sub(r.f.now)+s.RoundTrip/2, func() { r.answer(a, s, sent) })
+	})
+}
+
+func (r *fleetQuery) answer(a gatherer.Action, s *planner.Searcher, sent time.Time) {
+	took := r.f.now.Sub(sent)
+	s.Health.Answered(r.f.now, took)
+	if a.Purpose == gatherer.Primary {
+		r.vm.view.Services[s.Service].Health.Record(took)
+	}
+	s.Health.CompareServiceTime(r.f.now, sent, took-s.RoundTrip, r.half)
+	if until, slow := s.Health.TakeSlow(r.f.now); slow && r.f.announceTime > 0 {
+		r.f.announce(a.Searcher, until)
+	}
+	if !r.q.Done() {
+		r.handle(&gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: gatherer.Claim{Documents: 1}})
+	}
+}
+
+func (f *fleet) announce(searcher int32, until time.Time) {
+	for _, vm := range f.vms {
+		f.after(time.Duration(f.random.Float64()*float64(f.announceTime)), func() {
+			vm.view.Searchers[searcher].Health.ReportSlow(f.now, until, f.random.Float64())
+		})
+	}
+}
+
+// serve queues work at a searcher and returns when it ends.
+func (f *fleet) serve(searcher int, work time.Duration) time.Time {
+	s := &f.searchers[searcher]
+	best := 0
+	for i := range s.freeAt {
+		if s.freeAt[i].Before(s.freeAt[best]) {
+			best = i
+		}
+	}
+	begin := f.now
+	if s.freeAt[best].After(begin) {
+		begin = s.freeAt[best]
+	}
+	if phase := (begin.Sub(f.start) + s.phase) % f.pausePeriod; phase < f.pause {
+		begin = begin.Add(f.pause - phase)
+	}
+	took := (0.6 + 0.8*f.random.Float64()) * float64(work)
+	if at := begin.Sub(f.start); s.slow && at >= f.slowFrom && at < f.slowUntil {
+		took *= f.slowFactor
+	}
+	s.freeAt[best] = begin.Add(time.Duration(took))
+	return s.freeAt[best]
+}
+
+// slowAcrossShards is the load of a calm day on a fleet: 24 of 108 searchers, each of another shard, become ten times as
+// slow for four seconds.
+func slowAcrossShards(vms int) fleetLoad {
+	return fleetLoad{
+		vms: vms, shards: 36, slots: 4,
+		kinds: []fleetKind{
+			{"sweep", 120, 11 * time.Millisecond, 150 * time.Millisecond, 0.95},
+			{"gate", 40, 3800 * time.Microsecond, 120 * time.Millisecond, 0.85},
+		},
+		pause: 200 * time.Millisecond, pausePeriod: 4500 * time.Millisecond,
+		slowFrom: 4 * time.Second, slowUntil: 8 * time.Second, slowSearchers: 24, slowFactor: 10,
+		duration: 8 * time.Second,
+	}
+}
+
+// Each of 77 VMs sends a searcher two queries a second, and so finds slow searchers late. VMs that announce them must make
+// fewer callers late from 0.6 s after the slowness began: at most half as many sweeps as without announcements, and at
+// most 0.04 of the callers of each kind and of each failure domain.
+func TestCallersOfAFleetWithSlowSearchers(t *testing.T) {
+	load := slowAcrossShards(77)
+	alone := newFleet(load).play(4600 * time.Millisecond)
+	load.announceTime = 400 * time.Millisecond
+	told := newFleet(load).play(4600 * time.Millisecond)
+	for name, o := range told {
+		a := alone[name]
+		got, before := float64(o.late)/float64(o.queries), float64(a.late)/float64(a.queries)
+		t.Logf("%s: %d queries, late %.3f (%.3f without announcements), partial %.3f (%.3f)", name, o.queries, got, before,
+			float64(o.partial)/float64(o.queries), float64(a.partial)/float64(a.queries))
+		if got > 0.04 {
+			t.Errorf("%s: %.3f of the queries are late, want at most 0.04", name, got)
+		}
+		if name == "sweep" && got > before/2 {
+			t.Errorf("sweep: %.3f of the queries are late, want at most half of the %.3f without announcements", got, before)
+		}
+	}
+}
+
+// The allowance is scarce: 36 searchers of 108 become slow, nobody announces them, and each VM may hedge a service five
+// times in ten seconds. If hedges that an answer needs may use more of it than hedges that only complete an answer, fewer
+// sweeps must be late, and no kind and no failure domain may have more late callers than before.
+func TestHedgesGoWhereAnAnswerNeedsThem(t *testing.T) {
+	load := slowAcrossShards(77)
+	load.slowSearchers = 36
+	load.equalShares = true
+	equal := newFleet(load).play(load.slowFrom)
+	load.equalShares = false
+	ranked := newFleet(load).play(load.slowFrom)
+	for name, o := range ranked {
+		e := equal[name]
+		got, before := float64(o.late)/float64(o.queries), float64(e.late)/float64(e.queries)
+		t.Logf("%s: %d queries, late %.3f (%.3f with equal shares), partial %.3f (%.3f)", name, o.queries, got, before,
+			float64(o.partial)/float64(o.queries), float64(e.partial)/float64(e.queries))
+		if got > before {
+			t.Errorf("%s: %.3f of the queries are late, %.3f with equal shares", name, got, before)
+		}
+		if name == "sweep" && got > 0.8*before {
+			t.Errorf("sweep: %.3f of the queries are late, want at most 0.8 of the %.3f with equal shares", got, before)
+		}
+	}
+}
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -6,7 +6,6 @@
 
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
-	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
@@ -55,11 +54,7 @@
 	if p != gatherer.Retry && r.overloaded(now, shard) {
 		return false
 	}
-	share := 1.0
-	if p != gatherer.Retry {
-		share = limiter.NonRetryShare
-	}
-	return r.s.Windows.Spend(now, r.serviceName(r.req.Snapshot.Shards[shard].Service), share)
+	return r.s.Windows.Spend(now, r.serviceName(r.req.Snapshot.Shards[shard].Service), r.allowanceShare(p))
 }
 
 // forwardCall sets the fields in which the call of an attempt on a route differs from that of a search. The call has the
