relayer, ticketer, gatherer: texts and a name that puzzled readers

Cause: "call is not of this time", "the ticket was never begun" and PayForAll did not say what they mean. Change: the messages name the signing time and the order; the plan's field is ChargeEveryRetry.

--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -65,9 +65,9 @@
 	return q.send(now, shard, searcher, purpose, out)
 }
 
-// payForProbe reports whether a probe may be sent. A probe is free unless the plan says PayForAll.
+// payForProbe reports whether a probe may be sent. A probe is free unless the plan says ChargeEveryRetry.
 func (q *Query) payForProbe(now time.Time, shard int32) bool {
-	return !q.plan.PayForAll || q.hooks.Spend(now, shard, Probe)
+	return !q.plan.ChargeEveryRetry || q.hooks.Spend(now, shard, Probe)
 }
 
 // probe sends the shard once more to the same replica on a new connection. Before its first answer a query does so
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -27,10 +27,10 @@
 	Probes        int       // limit of the probes before the first answer, over all shards, without the one after Innocent
 
 	// The scatterer sets these fields only for a request on a route, not for a search.
-	MaxRuns    int  // limit of one shard's attempts that may have run; 0 means MaxAttempts
-	AtMostOnce bool // no attempt follows one that may have run
-	FailFast   bool // the query ends once the least coverage is out of reach
-	PayForAll  bool // every attempt after the first takes from the budget, unless the one before was never sent
+	MaxRuns          int  // limit of one shard's attempts that may have run; 0 means MaxAttempts
+	AtMostOnce       bool // no attempt follows one that may have run
+	FailFast         bool // the query ends once the least coverage is out of reach
+	ChargeEveryRetry bool // every attempt after the first takes from the budget, unless the one before was never sent
 }
 
 // Hooks are the decisions that depend on state shared by many queries, or that a test replaces.
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -179,7 +179,7 @@
 
 // isFreeRetry reports whether a retry after the fault takes nothing from the budget.
 func (q *Query) isFreeRetry(f Fault) bool {
-	if q.plan.PayForAll {
+	if q.plan.ChargeEveryRetry {
 		return f == FaultNotSent
 	}
 	return f == FaultDraining || f == FaultNotHeld || f == FaultNotSent
--- a/gatherer/route_test.go
+++ b/gatherer/route_test.go
@@ -54,7 +54,7 @@
 		maxRuns := rapid.IntRange(1, 3).Draw(t, "max runs")
 		tokens := 0
 		runRandomRoute(t, func(b *testBench, p *Plan) {
-			p.MaxRuns, p.PayForAll, p.FailFast = maxRuns, true, true
+			p.MaxRuns, p.ChargeEveryRetry, p.FailFast = maxRuns, true, true
 			tokens = b.tokens
 		}, func(b *testBench, counts *routeCounts) {
 			for shard, n := range counts.mayHaveRun {
@@ -73,7 +73,7 @@
 func TestRouteAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		runRandomRoute(t, func(b *testBench, p *Plan) {
-			p.AtMostOnce, p.PayForAll, p.MaxRuns = true, true, 2
+			p.AtMostOnce, p.ChargeEveryRetry, p.MaxRuns = true, true, 2
 			b.hold = func(bool) bool { return false }
 		}, func(_ *testBench, counts *routeCounts) {
 			for shard, n := range counts.mayHaveRun {
@@ -86,7 +86,7 @@
 }
 
 func TestRouteEndsOnceCoverageIsOutOfReach(t *testing.T) {
-	b := newTestBench(4, 0, func(_ *testBench, p *Plan) { p.FailFast, p.LeastCoverage, p.PayForAll = true, 0.75, true })
+	b := newTestBench(4, 0, func(_ *testBench, p *Plan) { p.FailFast, p.LeastCoverage, p.ChargeEveryRetry = true, 0.75, true })
 	b.answer(0)
 	b.fault(1, FaultRejected)
 	if b.q.Done() {
--- a/relayer/auth.go
+++ b/relayer/auth.go
@@ -84,7 +84,7 @@
 	at := r.Header.Get(headerAt)
 	ms, err := strconv.ParseInt(at, 10, 64)
 	if err != nil || now.Sub(time.UnixMilli(ms)).Abs() > MaxClockSkew {
-		return nil, errors.New("call is not of this time")
+		return nil, errors.Errorf("call has no valid signing time, or one that differs from the clock by more than %s", MaxClockSkew)
 	}
 	for _, k := range keys {
 		if hmac.Equal([]byte(signature(k, r.URL.Path, at, body)), []byte(r.Header.Get(headerAuth))) {
--- a/scatterer/fleet_test.go
+++ b/scatterer/fleet_test.go
@@ -178,7 +178,7 @@
 	r := &fleetQuery{f: f, vm: vm, kind: k, startedAt: f.now, counted: counted}
 	plan := gatherer.Plan{
 		Deadline: f.now.Add(fleetLimit), Patience: f.now.Add(k.objective - 22*time.Millisecond), LeastCoverage: k.coverage,
-		Probes: gatherer.CanaryProbes, MaxRuns: 3, FailFast: true, PayForAll: true, KnownGood: true,
+		Probes: gatherer.CanaryProbes, MaxRuns: 3, FailFast: true, ChargeEveryRetry: true, KnownGood: true,
 	}
 	for _, s := range vm.snapshot.Shards {
 		plan.Shards = append(plan.Shards, gatherer.Shard{Name: s.Name, Documents: 1})
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -29,7 +29,7 @@
 	plan.MaxRuns = f.MaxRuns
 	plan.AtMostOnce = f.AtMostOnce
 	plan.FailFast = true
-	plan.PayForAll = true
+	plan.ChargeEveryRetry = true
 	if r.s.Windows == nil {
 		return
 	}
--- a/ticketer/home.go
+++ b/ticketer/home.go
@@ -96,7 +96,7 @@
 	case rec == nil && now.After(t.Expiry.Add(ResendWindow)):
 		return Answer, Outcome{Kind: refuser.OutcomeUnknown, Detail: "the ticket's record is gone"}, nil
 	case rec == nil && now.After(t.Expiry):
-		return Answer, Outcome{Kind: refuser.TicketExpired, Detail: "the ticket was never begun"}, nil
+		return Answer, Outcome{Kind: refuser.TicketExpired, Detail: "the ticket expired before its order started"}, nil
 	case rec == nil:
 		return r.begin(now, key, bodyHash)
 	case rec.BodyHash != bodyHash:
