--- a/scatterer/fleet_test.go
+++ b/scatterer/fleet_test.go
@@ -169,8 +169,6 @@
 	q         *gatherer.Query
 	startedAt time.Time
 	half      time.Duration
-	searchers []int32 // by attempt
-	sentAt    []time.Time
 	counted   bool
 }
 
