--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -31,7 +31,6 @@
 	SlackFraction = 0.8 // of an allowance's slack that is divided over the VMs
 	// Fractions of a VM's part of an allowance up to which it sends hedges and probes on routes. All its extra sends count,
 	// also retries, which may use the whole part.
-	NonRetryShare = 0.7  // of requests to a single searcher
-	OptionalShare = 0.5  // of requests over many shards, if the answer reaches its least coverage without the hedge
-	NeededShare   = 0.95 // of requests over many shards otherwise
+	NonRetryShare = 0.7
+	NeededShare   = 0.95 // replaces NonRetryShare for hedges without which a request over many shards misses its least coverage
 )
--- a/scatterer/allowance.go
+++ b/scatterer/allowance.go
@@ -13,16 +13,14 @@
 
 // allowanceShare decides who gets the extra sends when slow searchers use up the allowance. Retries may use all of it. A
 // hedge of a request over many shards may use NeededShare while more shards are unanswered than may be missing from the
-// answer, so that without it the caller is late. Otherwise it only makes the answer more complete, and may use
-// OptionalShare.
+// answer, so that without it the caller is late. Other hedges, also those that only complete an answer, may use
+// NonRetryShare.
 func allowanceShare(p gatherer.Purpose, shards, unanswered, mayMiss int) float64 {
 	switch {
 	case p == gatherer.Retry:
 		return 1
-	case shards < 2:
-		return limiter.NonRetryShare
-	case unanswered <= mayMiss:
-		return limiter.OptionalShare
+	case shards > 1 && unanswered > mayMiss:
+		return limiter.NeededShare
 	}
-	return limiter.NeededShare
+	return limiter.NonRetryShare
 }
