--- a/commander/commander.go
+++ b/commander/commander.go
@@ -74,7 +74,7 @@
 		Writer:    out,
 		ErrWriter: errOut,
 		Commands: []*cli.Command{
-			serveCommand(), demoCommand(), checkCommand(), generateCommand(), loadCommand(), experimentCommand(), replayCommand(), timelineCommand(), statusCommand(), versionCommand(),
+			serveCommand(), demoCommand(), checkCommand(), generateCommand(), loadCommand(), experimentCommand(), replayCommand(), timelineCommand(), auditCommand(), statusCommand(), versionCommand(),
 		},
 		// Main turns errors into exit codes; the library's default handler may exit by itself.
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
