limiter: bound extra sends of the fleet also while requests move between VMs and VMs restart

Callers saw: a service got more extra attempts than the allowance of the fleet (BUDGET).

Cause: each VM compared its extra sends with its own requests of the ten seconds before them. The sum over the VMs keeps the fleet's bound only while no requests move between VMs or incarnations; after a move both spend for the same callers, and a new incarnation had the slack anew.

Change: a VM pays with its steady requests, the fewest of any window that ended within the last window, which no two VMs can count, and with a small credit for each request that expires after three seconds. A restarted VM has neither slack nor steady requests until the sends of its earlier incarnation are out of every window. Windows that denied extra sends are logged and counted.

--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -13,8 +13,6 @@
 	ShareFraction       = 0.95
 	IncarnationFraction = 0.5 // that one incarnation of the fleet may use, so that those of two fit
 
-	RatioFraction = 0.92 // of an allowance's ratio that each VM may use
-
 	// Constants of an Admitter.
 	MinConcurrency     = 2
 	InitialConcurrency = 64
@@ -28,9 +26,9 @@
 	ShedTolerance      = 0.02 // signs of overload per attempt, above which the limit is lowered; see Admitter.Observe
 	MinSamples         = 10   // attempts since the last adjustment that the next one needs
 
-	SlackFraction = 0.8 // of an allowance's slack that is divided over the VMs
-	// Fractions of a VM's part of an allowance up to which it sends hedges and probes on routes. All its extra sends count,
-	// also retries, which may use the whole part.
+	SlackFraction = 0.8         // of an allowance's slack that is divided over the VMs
+	TransitTime   = time.Second // longest time for which an extra send is expected to be on its way
+	// Fractions of what a VM may send that hedges and probes on routes may use up. Retries may use all of it.
 	NonRetryShare = 0.7
 	NeededShare   = 0.95 // replaces NonRetryShare for hedges without which a request over many shards misses its least coverage
 )
--- a/planner/view.go
+++ b/planner/view.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -123,6 +125,9 @@
 // Indexes returns all indexes of the view.
 func (v *View) Indexes() map[modeler.IndexName]*Index { return v.indexes }
 
+// ServiceNames returns the names of all services of the view.
+func (v *View) ServiceNames() iter.Seq[modeler.ServiceName] { return maps.Keys(v.services) }
+
 // Service returns the position in v.Services of the service with the name.
 func (v *View) Service(n modeler.ServiceName) (int32, bool) {
 	i, ok := v.services[n]
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -58,12 +58,30 @@
 		List: v.storeClient.List, Watch: v.storeClient.Watch, Store: v.store, VMCount: v.fleetSize, Changed: v.applyOffer,
 		IsReader: v.isStoreReader, OnStepFailed: v.announceStoreLoss,
 	}
-	v.scatterer.Windows = limiter.NewWindows(limiter.Allowance{
-		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
-	}, v.sharerCount)
+	v.scatterer.Windows = v.newWindows()
 	v.scatterer.Shedder = shedder.NewShedder()
 }
 
+// newWindows returns the windows that bound the extra attempts of this VM.
+func (v *VM) newWindows() *limiter.Windows {
+	r := v.cfg.Routing
+	var options []limiter.WindowsOption
+	if !r.FirstStart {
+		options = append(options, limiter.WithRestart(v.startedAt))
+	}
+	return limiter.NewWindows(limiter.Allowance{
+		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
+	}, v.sharerCount, options...)
+}
+
+// reportDenied logs and counts the extra attempts that the allowance of a service did not permit.
+func (v *VM) reportDenied() {
+	for service, n := range v.scatterer.Windows.TakeDenied() {
+		v.counter("attempts.denied").Inc(int64(n))
+		klog.InfoS("attempt: extra ones denied", "service", string(service), "count", n, "fleet", v.sharerCount(), "up-ms", time.Since(v.startedAt).Milliseconds())
+	}
+}
+
 // reportOverload logs each service that became overloaded or recovered, and counts those that became overloaded.
 func (v *VM) reportOverload() {
 	view := v.view.Load()
@@ -136,7 +154,7 @@
 }
 
 // runRouteUpkeep refreshes the connection shares, trims connections to searchers and idle ones of callers, warms
-// connections and reports overload, once every UpkeepPeriod.
+// connections and reports overload and denied attempts, once every UpkeepPeriod.
 func (v *VM) runRouteUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
 	defer ticker.Stop()
@@ -148,6 +166,7 @@
 			v.trim()
 			v.warm(ctx)
 			v.reportOverload()
+			v.reportDenied()
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -205,7 +224,7 @@
 		_, ok := view.Service(n)
 		return ok
 	}
-	v.scatterer.Windows.Keep(known)
+	v.scatterer.Windows.SetServices(time.Now(), view.ServiceNames())
 	v.scatterer.Shedder.Keep(known)
 	if view.Limits != nil {
 		v.idleConns.CloseIdle(time.Now(), view.Limits.IdleTimeout.Duration)
