runner: VMs that are cut off keep their part of the allowances' slack

Callers could see: more extra attempts than allowed while a cut divides a large fleet.

Cause: each VM divided the slack by its live members. After a cut both halves divide by half of the fleet, and both still send.

--- a/runner/members.go
+++ b/runner/members.go
@@ -18,30 +18,38 @@
 // membership is a snapshot of the live members, those that are alive or suspect. Hot paths read it without a lock.
 type membership struct {
 	liveCount int
-	members   []gossiper.Member // including this VM
-	domainVMs []modeler.VMName  // members in this VM's failure domain
-	relays    []gossiper.Member // alive members that relay
+	// recentCount also counts members that died or left within gossiper.DeadRetention. A dead one may only be cut off.
+	recentCount int
+	members     []gossiper.Member // including this VM
+	domainVMs   []modeler.VMName  // members in this VM's failure domain
+	relays      []gossiper.Member // alive members that relay
 }
 
-// refreshMembership replaces the snapshot of the members. Calls are serialized, so that an earlier snapshot never
-// replaces a later one.
-func (v *VM) refreshMembership() {
-	v.membershipMu.Lock()
-	defer v.membershipMu.Unlock()
-	next := &membership{}
-	for _, m := range v.gossip.Members() {
+// newMembership returns the snapshot of the members as seen from a VM in the failure domain.
+func newMembership(all []gossiper.Member, domain modeler.FailureDomain) *membership {
+	out := &membership{recentCount: len(all)}
+	for _, m := range all {
 		if m.State > gossiper.Suspect {
 			continue
 		}
-		next.liveCount++
-		next.members = append(next.members, m)
-		if m.Domain == v.cfg.FailureDomain {
-			next.domainVMs = append(next.domainVMs, m.Name)
+		out.liveCount++
+		out.members = append(out.members, m)
+		if m.Domain == domain {
+			out.domainVMs = append(out.domainVMs, m.Name)
 		}
 		if m.Relay && m.State == gossiper.Alive {
-			next.relays = append(next.relays, m)
+			out.relays = append(out.relays, m)
 		}
 	}
+	return out
+}
+
+// refreshMembership replaces the snapshot of the members. Calls are serialized, so that an earlier snapshot never
+// replaces a later one.
+func (v *VM) refreshMembership() {
+	v.membershipMu.Lock()
+	defer v.membershipMu.Unlock()
+	next := newMembership(v.gossip.Members(), v.cfg.FailureDomain)
 	v.membership.Store(next)
 	v.shares.markStale()
 	v.spreader.SetMembers(next.relays)
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -71,14 +71,14 @@
 	}
 	return limiter.NewWindows(limiter.Allowance{
 		Ratio: r.RetryRatio, Slack: r.RetrySlack, Window: r.RetryWindow.Duration,
-	}, v.sharerCount, options...)
+	}, v.spenderCount, options...)
 }
 
 // reportDenied logs and counts the extra attempts that the allowance of a service did not permit.
 func (v *VM) reportDenied() {
 	for service, n := range v.scatterer.Windows.TakeDenied() {
 		v.counter("attempts.denied").Inc(int64(n))
-		klog.InfoS("attempt: extra ones denied", "service", string(service), "count", n, "fleet", v.sharerCount(), "up-ms", time.Since(v.startedAt).Milliseconds())
+		klog.InfoS("attempt: extra ones denied", "service", string(service), "count", n, "fleet", v.spenderCount(), "up-ms", time.Since(v.startedAt).Milliseconds())
 	}
 }
 
@@ -102,8 +102,14 @@
 	}
 }
 
-// sharerCount returns how many VMs share the fleet's retry allowances and the searchers' connections. It assumes at
-// least UnknownFleetSize VMs while the members may not all be known.
+// spenderCount returns how many VMs share the slack of the fleet's allowances. A VM that is cut off still sends, and what
+// one has sent before it died or left still counts.
+func (v *VM) spenderCount() int {
+	return max(v.sharerCount(), v.membership.Load().recentCount)
+}
+
+// sharerCount returns how many VMs share the searchers' connections. It assumes at least UnknownFleetSize VMs while the
+// members may not all be known.
 func (v *VM) sharerCount() int {
 	n := max(v.fleetSize(), v.minFleetSize())
 	if time.Since(v.startedAt) < LearnPeriod || v.membership.Load().liveCount <= 1 {
