Keep the limits that searchers state in their answers

Cause: nothing read the header. A searcher could ask for less only by refusals, one by one, or by draining.

Change: each VM takes its part of a stated limit, by rank among the VMs of the last two minutes; attempts of all kinds are counted when they are sent. The picker takes no searcher without room.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -119,6 +119,7 @@
 	Draining bool
 	Held     []modeler.SnapshotID // snapshots of the call's index that the searcher holds; nil if it did not say
 	Late     bool                 // the deadline had passed before the request was sent or run
+	Limit    modeler.RateLimit    // as the searcher states it in this answer
 	AtLimit  bool                 // the searcher reset the new connection because other clients hold all that it allows
 	Err      error
 
--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -26,6 +26,11 @@
 	ShedTolerance      = 0.02 // signs of overload per attempt, above which the limit is lowered; see Admitter.Observe
 	MinSamples         = 10   // attempts since the last adjustment that the next one needs
 
+	// A searcher's limit counts as at least MinQuota, in requests per second, so that the VMs notice its end.
+	MinQuota      = 0.5
+	TrialFraction = 0.05        // of the limit, for VMs that do not share it
+	MaxQuotaWait  = time.Minute // longest time that Quota.Wait returns
+
 	SlackFraction = 0.8         // of an allowance's slack that is divided over the VMs
 	TransitTime   = time.Second // longest time for which an extra send is expected to be on its way
 	// Fractions of what a VM may send that hedges and probes on routes may use up. Retries may use all of it.
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -70,6 +70,9 @@
 	// DrainingMemory is how long after the last report of draining a searcher counts as draining.
 	DrainingMemory = 60 * time.Second
 
+	// DividePeriod is how long a VM's part of a searcher's limit is used before the limit is divided again.
+	DividePeriod = time.Second
+
 	MinHedgeDelay = time.Millisecond
 	// HedgeDelay, the hedge delay of searches, is InitialHedge while the service has fewer than MinHedgeSamples answers.
 	// A shard without a service has InitialHedge too.
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -32,6 +32,7 @@
 	lastSlow       time.Time
 	slowness       slowDetector
 	report         slowReport
+	limit          statedLimit
 	refusals       float64 // share of attempts refused, a moving average as of lastRefusal
 	lastRefusal    time.Time
 }
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -17,6 +17,7 @@
 	Random         func(n int) int                     // returns a number from 0 to n-1
 	StallLimit     time.Duration                       // time without an answer after which a busy searcher is avoided; 0 unless on a route
 	ConnectionNeed func(searcher int32) ConnectionNeed // nil if connections are not part of a searcher's cost
+	Reserve        float64                             // fraction of a limited searcher's burst that is left to more urgent requests
 	Spread         *Spread                             // nil if all first attempts may go to one failure domain
 }
 
@@ -77,12 +78,17 @@
 	return p.cheapest(now, candidates, service)
 }
 
-// isEligible reports whether a searcher is untried, lies outside the failure domain avoid, neither drains nor has left,
-// and is not known to lack the snapshot.
+// isEligible reports whether a searcher is untried, lies outside the failure domain avoid, is available, and takes a
+// request now by the limit that it states.
 func (p *Picker) isEligible(now time.Time, r int32, tried []int32, avoid int32) bool {
 	if slices.Contains(tried, r) || p.View.Searchers[r].Domain == avoid {
 		return false
 	}
+	return p.isAvailable(now, r) && p.View.Searchers[r].Health.QuotaWait(now, p.Reserve) == 0
+}
+
+// isAvailable reports whether a searcher neither drains nor has left, and is not known to lack the snapshot.
+func (p *Picker) isAvailable(now time.Time, r int32) bool {
 	health := p.View.Searchers[r].Health
 	if until := p.View.Searchers[r].UsableUntil; !until.IsZero() && !now.Before(until) {
 		return false
--- a/planner/route.go
+++ b/planner/route.go
@@ -14,6 +14,7 @@
 type Route struct {
 	modeler.Route
 	Index       *Index
+	Reserve     float64 // fraction of a limited searcher's burst that the route leaves to more urgent ones
 	targets     []target
 	totalWeight float64
 }
@@ -38,11 +39,44 @@
 			v.routes.byHost[r.Host] = append(v.routes.byHost[r.Host], v.newRoute(r))
 		}
 	}
+	v.setReserves()
 	for _, list := range v.routes.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 }
 
+// setReserves makes each route leave a part of its searchers' bursts to more urgent routes to the same services.
+func (v *View) setReserves() {
+	highest := map[modeler.ServiceName]int{} // least Priority, which is the most urgent
+	v.eachRouteService(func(r *Route, s modeler.ServiceName) {
+		if p, ok := highest[s]; !ok || r.Priority < p {
+			highest[s] = r.Priority
+		}
+	})
+	v.eachRouteService(func(r *Route, s modeler.ServiceName) {
+		if highest[s] < r.Priority {
+			r.Reserve = UrgentReserve
+		}
+	})
+}
+
+// eachRouteService calls f for each route and each service that its requests may go to.
+func (v *View) eachRouteService(f func(*Route, modeler.ServiceName)) {
+	for _, list := range v.routes.byHost {
+		for _, r := range list {
+			for _, s := range r.Shards {
+				f(r, s)
+			}
+			for _, w := range r.Split {
+				f(r, w.Service)
+			}
+		}
+	}
+}
+
+// UrgentReserve is the fraction of a limited searcher's burst that is left to the most urgent routes.
+const UrgentReserve = 0.5
+
 func (v *View) newRoute(r modeler.Route) *Route {
 	out := &Route{Route: r, Index: &Index{
 		Name: modeler.IndexName(r.Name), Urgent: r.Priority == 0,
--- a/runner/members.go
+++ b/runner/members.go
@@ -18,16 +18,16 @@
 // membership is a snapshot of the live members, those that are alive or suspect. Hot paths read it without a lock.
 type membership struct {
 	liveCount int
-	// recentCount also counts members that died or left within gossiper.DeadRetention. A dead one may only be cut off.
-	recentCount int
-	members     []gossiper.Member // including this VM
-	domainVMs   []modeler.VMName  // members in this VM's failure domain
-	relays      []gossiper.Member // alive members that relay
+	// recent also holds members that died or left within gossiper.DeadRetention. A dead one may only be cut off.
+	recent    []gossiper.Member
+	members   []gossiper.Member // including this VM
+	domainVMs []modeler.VMName  // members in this VM's failure domain
+	relays    []gossiper.Member // alive members that relay
 }
 
 // newMembership returns the snapshot of the members as seen from a VM in the failure domain.
 func newMembership(all []gossiper.Member, domain modeler.FailureDomain) *membership {
-	out := &membership{recentCount: len(all)}
+	out := &membership{recent: all}
 	for _, m := range all {
 		if m.State > gossiper.Suspect {
 			continue
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -105,7 +105,7 @@
 // spenderCount returns how many VMs share the slack of the fleet's allowances. A VM that is cut off still sends, and what
 // one has sent before it died or left still counts.
 func (v *VM) spenderCount() int {
-	return max(v.sharerCount(), v.membership.Load().recentCount)
+	return max(v.sharerCount(), len(v.membership.Load().recent))
 }
 
 // sharerCount returns how many VMs share the searchers' connections. It assumes at least UnknownFleetSize VMs while the
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -173,7 +173,7 @@
 	v.admitter = limiter.NewAdmitter()
 	v.dialer = dialer.NewDialer(local, v.dialerOptions()...)
 	v.scatterer = scatterer.NewScatterer(v.dialer, v.observer, v.quarantine, v.recorder,
-		append([]scatterer.Option{scatterer.WithOnDraining(v.announceDrainingInBand), scatterer.WithOnQuarantine(v.announceQuarantine), scatterer.WithOnSuspect(v.announceSuspect), scatterer.WithOnSlow(v.announceSlow), scatterer.WithPressure(v.admitter.UnderPressure)}, v.mechanisms.Scatterer...)...)
+		append([]scatterer.Option{scatterer.WithOnDraining(v.announceDrainingInBand), scatterer.WithOnQuarantine(v.announceQuarantine), scatterer.WithOnSuspect(v.announceSuspect), scatterer.WithOnSlow(v.announceSlow), scatterer.WithPressure(v.admitter.UnderPressure), scatterer.WithOnLimit(v.reportLimit), scatterer.WithDivide(v.quotaPart)}, v.mechanisms.Scatterer...)...)
 	v.store = configurer.NewStore(append(v.storeOptions(), v.mechanisms.Store...)...)
 	v.platformClient = watcher.NewClient(v.cfg.Platform, func() { v.platformCalls.Add(1) })
 	v.watcher = &watcher.Watcher{
--- a/scatterer/constants.go
+++ b/scatterer/constants.go
@@ -14,6 +14,8 @@
 	StallFactor      = 2.5                    // stall limit of a single-shard request, in typical latencies of its service
 	PartLinger       = 300 * time.Millisecond // Linger of the calls of a multi-shard request on a route; see dialer.Call
 	SingleLinger     = 20 * time.Millisecond  // Linger of the calls of a single-shard request on a route
+	FreeScarcity     = 0.5                    // scarcity of a shard (see planner.Picker) up to which no request goes without it
 	MinCompared      = 4                      // shards that a request needs for their times to be compared
+	fractionSteps    = 1000                   // equally spaced random fractions from 0 to 1
 	extraResults     = 16                     // room in the result channel for extra attempts and verdicts
 )
--- a/scatterer/learn.go
+++ b/scatterer/learn.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
+	"github.com/pistachiogap/pistachiogap/limiter"
+	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
 )
 
@@ -46,6 +48,23 @@
 	}
 }
 
+// updateLimit records the limit that a searcher states in its answer to an attempt that was sent at the given time.
+func (r *run) updateLimit(s *planner.Searcher, res *attemptResult, sent time.Time) {
+	switch res.event.Fault {
+	case gatherer.FaultNotSent:
+		s.Health.GiveBack()
+		return
+	case gatherer.FaultNone, gatherer.FaultShed, gatherer.FaultRejected:
+	default:
+		return // not an answer of this searcher
+	}
+	divide := func(perSecond float64) limiter.QuotaPart { return r.s.divide(s, perSecond) }
+	fraction := float64(r.s.random(fractionSteps)) / fractionSteps
+	if change := s.Health.StateLimit(r.s.now(), sent, res.reply.Limit, divide, fraction); change != observer.LimitUnchanged {
+		r.s.onLimit(s, res.reply.Limit, change)
+	}
+}
+
 // compareServiceTime compares the time that one shard took with that of the others, and announces its searcher if it is
 // slow.
 func (r *run) compareServiceTime(now time.Time, s *planner.Searcher, took time.Duration) {
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -30,6 +30,7 @@
 
 		Faults:     r.faultCounts,
 		MayHaveRun: r.query.MayHaveRun(),
+		QuotaWait:  r.quotaWait(now),
 	}
 	res.Documents, res.TotalDocuments = r.query.Documents()
 	res.Sent, res.Primaries = r.query.AttemptCounts()
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -74,6 +74,7 @@
 	if req.Forward == nil {
 		r.picker.Spread = planner.NewSpread(len(req.Snapshot.Shards))
 	} else {
+		r.picker.Reserve = req.Forward.Reserve
 		r.picker.StallLimit = stallLimit(req.View, req.Snapshot)
 		r.picker.ConnectionNeed = r.connectionNeed
 		r.forwardPlan(&plan)
@@ -221,6 +222,7 @@
 	r.cancels = append(r.cancels, cancel)
 	r.attemptSearchers = append(r.attemptSearchers, a.Searcher)
 	r.reachedSearchers[a.Searcher] = true
+	r.req.View.Searchers[a.Searcher].Health.Take(r.s.now())
 	r.recordAttempt(recorder.AttemptSent, a)
 	r.logExtra(a)
 	call := dialer.Call{
@@ -251,6 +253,7 @@
 	searcher.Health.Begin(start)
 	res := r.exchange(ctx, a, call)
 	r.updateHealth(ctx, a, &res, r.s.now().Sub(start))
+	r.updateLimit(searcher, &res, start)
 	if res.event.Fault == gatherer.FaultShed {
 		r.shedAttempts.Add(1)
 	}
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -33,6 +33,8 @@
 	matches         func(want, got gatherer.Claim) bool
 	onDraining      func(*planner.Searcher)
 	onSlow          func(s *planner.Searcher, until time.Time)
+	onLimit         func(s *planner.Searcher, l modeler.RateLimit, change observer.LimitChange)
+	divide          func(s *planner.Searcher, perSecond float64) limiter.QuotaPart
 	onQuarantine    func(observer.Fingerprint, time.Time)
 	onSuspect       func(observer.Fingerprint, time.Time)
 	spend           func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
@@ -62,6 +64,17 @@
 	return func(s *Scatterer) { s.onSlow = f }
 }
 
+// WithOnLimit sets the callback for a searcher whose answers begin or cease to state a limit.
+func WithOnLimit(f func(s *planner.Searcher, l modeler.RateLimit, change observer.LimitChange)) Option {
+	return func(s *Scatterer) { s.onLimit = f }
+}
+
+// WithDivide sets the function that returns this VM's part of a searcher's limit, in requests per second. Without it the
+// VM uses the whole limit.
+func WithDivide(f func(s *planner.Searcher, perSecond float64) limiter.QuotaPart) Option {
+	return func(s *Scatterer) { s.divide = f }
+}
+
 // WithOnQuarantine sets the callback for a request that crashes searchers, with the time until which it is quarantined.
 func WithOnQuarantine(f func(observer.Fingerprint, time.Time)) Option {
 	return func(s *Scatterer) { s.onQuarantine = f }
@@ -105,13 +118,17 @@
 func NewScatterer(d *dialer.Dialer, o *observer.Observer, q *observer.Quarantine, r *recorder.Recorder, options ...Option) *Scatterer {
 	s := &Scatterer{
 		Dialer: d, Observer: o, Quarantine: q, Recorder: r,
-		Budgets:       limiter.NewBudgets(),
-		now:           time.Now,
-		random:        rand.IntN,
-		hold:          gatherer.HoldUntilCleared,
-		matches:       gatherer.MatchesExactly,
-		onDraining:    func(*planner.Searcher) {},
-		onSlow:        func(*planner.Searcher, time.Time) {},
+		Budgets:    limiter.NewBudgets(),
+		now:        time.Now,
+		random:     rand.IntN,
+		hold:       gatherer.HoldUntilCleared,
+		matches:    gatherer.MatchesExactly,
+		onDraining: func(*planner.Searcher) {},
+		onSlow:     func(*planner.Searcher, time.Time) {},
+		onLimit:    func(*planner.Searcher, modeler.RateLimit, observer.LimitChange) {},
+		divide: func(_ *planner.Searcher, perSecond float64) limiter.QuotaPart {
+			return limiter.QuotaPartOf(perSecond, 1, 0)
+		},
 		onQuarantine:  func(observer.Fingerprint, time.Time) {},
 		onSuspect:     func(observer.Fingerprint, time.Time) {},
 		spend:         SpendBudgets,
@@ -146,6 +163,7 @@
 	Patience    time.Time // from here on the least coverage is enough
 	MaxRuns     int       // limit of one shard's attempts that may have run
 	AtMostOnce  bool      // no attempt follows one that may have run
+	Reserve     float64   // fraction of a limited searcher's burst that is left to more urgent routes
 	Fingerprint observer.Fingerprint
 }
 
@@ -170,6 +188,7 @@
 	Rejection    *dialer.Reply // the last error that a searcher answered with
 	MayHaveRun   bool          // a searcher may have run an attempt
 	Faults       gatherer.FaultCounts
+	QuotaWait    time.Duration       // if nothing was sent because of searchers' limits: until enough shards take requests again
 	LeftOut      []modeler.ShardName // left out because of overload and unanswered, even if asked after all
 }
 
--- a/scatterer/shed.go
+++ b/scatterer/shed.go
@@ -1,27 +1,83 @@
 package scatterer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
-// markLeftOut marks shards of overloaded services as left out of the plan, as many as the least coverage allows.
+// markLeftOut marks shards as left out of the plan, as many as the least coverage allows: first those whose searchers'
+// limits are nearly used up, then those of overloaded services.
 func (r *run) markLeftOut(plan *gatherer.Plan) {
 	n := len(plan.Shards)
-	if n < 2 || r.s.Shedder == nil {
+	if n < 2 || r.req.Forward == nil {
+		return
+	}
+	limit := maxMissing(n, plan.LeastCoverage)
+	for _, i := range r.scarceShards(limit) {
+		plan.Shards[i].LeftOut = true
+		limit--
+	}
+	r.markOverloaded(plan, limit)
+}
+
+// markOverloaded marks at most limit shards of overloaded services as left out.
+func (r *run) markOverloaded(plan *gatherer.Plan, limit int) {
+	n := len(plan.Shards)
+	if r.s.Shedder == nil {
 		return
 	}
 	names := make([]modeler.ServiceName, n)
 	for i, shard := range r.req.Snapshot.Shards {
 		names[i] = r.serviceName(shard.Service)
 	}
-	for _, i := range r.s.Shedder.LeaveOut(r.startedAt, names, maxMissing(n, plan.LeastCoverage)) {
+	for _, i := range r.s.Shedder.LeaveOut(r.startedAt, names, limit) {
 		plan.Shards[i].LeftOut = true
 	}
 }
 
+// scarceShards returns at most limit shards that the request goes without; see chooseScarce.
+func (r *run) scarceShards(limit int) []int {
+	scarcity := make([]float64, len(r.req.Snapshot.Shards))
+	for i := range scarcity {
+		scarcity[i] = r.picker.Scarcity(r.startedAt, int32(i))
+	}
+	draw := func() float64 { return float64(r.s.random(fractionSteps)) / fractionSteps }
+	return chooseScarce(scarcity, limit, draw)
+}
+
+// chooseScarce chooses at most limit shards that a request goes without, the scarcest first, so that requests that can't
+// do without them find searchers that take requests. The scarcer a shard, the more requests go without it; up to
+// FreeScarcity none does. The function draw returns a random number from 0 to 1.
+func chooseScarce(scarcity []float64, limit int, draw func() float64) []int {
+	var chosen []int
+	for i, x := range scarcity {
+		if (x-FreeScarcity)/(1-FreeScarcity) > draw() {
+			chosen = append(chosen, i)
+		}
+	}
+	slices.SortStableFunc(chosen, func(a, b int) int { return cmp.Compare(scarcity[b], scarcity[a]) })
+	return chosen[:min(len(chosen), limit)]
+}
+
+// quotaWait returns how long it takes until the searchers' limits let enough shards take requests for the least
+// coverage. It is 0 if they do now, and if an attempt was sent.
+func (r *run) quotaWait(now time.Time) time.Duration {
+	if r.query.RequestedAttempts() > 0 {
+		return 0
+	}
+	waits := make([]time.Duration, len(r.plan.Shards))
+	for i := range waits {
+		waits[i] = r.picker.QuotaWait(now, int32(i))
+	}
+	slices.Sort(waits)
+	needed := len(waits) - maxMissing(len(waits), r.plan.LeastCoverage)
+	return waits[max(0, needed-1)]
+}
+
 // maxMissing returns how many of n shards may be missing without falling below the least coverage.
 func maxMissing(n int, leastCoverage float64) int {
 	for k := 0; k < n; k++ {
--- a/server/constants.go
+++ b/server/constants.go
@@ -29,6 +29,7 @@
 	// coverage.
 	ObjectiveMargin = 22 * time.Millisecond
 
+	MinRetryAfter   = 20 * time.Millisecond  // least Retry-After while searchers' limits are used up
 	RouteRetryAfter = 100 * time.Millisecond // Retry-After of most refusals on routes
 
 	StoreRetryAfter = time.Second // Retry-After on routes while the store has no configuration or too few searchers
--- a/server/forward.go
+++ b/server/forward.go
@@ -236,6 +236,7 @@
 			MaxRuns:     rr.route.Attempts,
 			AtMostOnce:  !rr.route.Idempotent,
 			Fingerprint: rr.fingerprint,
+			Reserve:     rr.route.Reserve,
 		},
 	}
 	if len(rr.route.Shards) > 0 && rr.route.Objective.Duration > 0 {
--- a/server/refusal.go
+++ b/server/refusal.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +18,8 @@
 	switch {
 	case res.Crashed:
 		return refuser.New(refuser.Unserved, "the request crashed searchers and was stopped")
+	case res.QuotaWait > 0:
+		return refuser.New(refuser.Overloaded, "%s: the searchers' limits are used up for %v", detail, res.QuotaWait.Round(time.Millisecond)).After(spread(res.QuotaWait))
 	case !res.MayHaveRun && res.Faults == (gatherer.FaultCounts{}):
 		return refuser.New(refuser.Unregistered, "%s: too few searchers are registered", detail)
 	case !res.MayHaveRun && res.Shed > 0:
@@ -27,10 +30,19 @@
 	return refuser.New(refuser.Unserved, "%s", detail)
 }
 
-// routeRetryAfter returns how long a refused caller should wait. A VM at its limit soon has a free slot; a VM without a
-// configuration or without searchers has to wait for the store.
-func routeRetryAfter(k refuser.Kind) time.Duration {
-	switch k {
+// spread returns a random time from d to twice d, so that callers that are refused together return one by one.
+func spread(d time.Duration) time.Duration {
+	d = max(d, MinRetryAfter)
+	return d + rand.N(d)
+}
+
+// routeRetryAfter returns how long a refused caller should wait. Where the refusal doesn't say so: a VM at its limit soon
+// has a free slot; a VM without a configuration or without searchers has to wait for the store.
+func routeRetryAfter(r *refuser.Refusal) time.Duration {
+	if r.RetryAfter > 0 {
+		return r.RetryAfter.Round(time.Millisecond)
+	}
+	switch r.Kind {
 	case refuser.Unconfigured, refuser.Unregistered:
 		return StoreRetryAfter
 	}
@@ -43,7 +55,7 @@
 	refusal := refuser.From(err)
 	row := refuser.Lookup(refusal.Kind)
 	if row.RetryAfter > 0 && row.NotRun == refuser.Yes {
-		w.Header().Set("Retry-After", strconv.FormatFloat(routeRetryAfter(refusal.Kind).Seconds(), 'g', -1, 64))
+		w.Header().Set("Retry-After", strconv.FormatFloat(routeRetryAfter(refusal).Seconds(), 'g', -1, 64))
 	}
 	out.Outcome, out.Detail, out.Status = string(refusal.Kind), refusal.Detail, row.Status
 	w.Header().Set("Content-Type", "text/plain")
