server: answer or refuse what comes late in a planned stop

Callers saw: a request that came late in the grace of a planned stop was taken, passed on to a searcher and cut off without an answer at the end of the grace, also one that must not run twice.

Cause: a stopping VM admits requests on kept connections until no request is under way or the grace ends; then the server closes all connections, whatever is under way.

Change: while it stops, a VM refuses requests at once, as not run, if less than twice their route's objective is left (four times for requests that must not run twice). 0.1 s before the grace ends, what is still under way is ended and its caller answered.

--- a/runner/routing.go
+++ b/runner/routing.go
@@ -241,7 +241,7 @@
 	routes := &server.RouteHandler{
 		Dialect: platform.CallerDialect(), View: v.view.Load, Gather: v.scatterer.Run,
 		GatheredAdmitter: v.admitter, SingleAdmitter: limiter.NewAdmitter(), TakeStarvedAttempts: v.scatterer.TakeStarvedAttempts,
-		Quarantine: v.quarantine, Draining: v.draining.Load, OnDone: v.recordRouteResult,
+		Quarantine: v.quarantine, Draining: v.draining.Load, Stop: v.stop, OnDone: v.recordRouteResult,
 		Merge: func(parts []scatterer.ShardReply, limit int) []byte {
 			return scatterer.MergeRecords(parts, platform.RecordBytes, limit)
 		},
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -85,6 +85,7 @@
 	peerSeeds       atomic.Pointer[[]netip.AddrPort] // the peers in the settings
 	listing         atomic.Pointer[modeler.Listing]  // the platform's latest list of VMs, if any
 	draining        atomic.Bool
+	stop            *server.Stop
 	idleConns       server.IdleConns
 	storeLosses     storeLosses
 	shares          shareCache
@@ -110,6 +111,7 @@
 		pauses:          make(chan time.Duration, 1),
 		metrics:         metrics.NewRegistry(),
 		beforeViewBuild: func() {},
+		stop:            server.NewStop(),
 	}
 	v.peerSeeds.Store(&v.cfg.Peers)
 	for _, o := range options {
@@ -225,6 +227,7 @@
 	v.recorder.Record(recorder.Event{Kind: recorder.ProcessDraining})
 	klog.Infof("vm: %s drains", v.cfg.Name)
 	if err == nil {
+		v.stop.Begin(time.Now().Add(v.cfg.DrainDelay.Duration + v.cfg.Grace.Duration))
 		spawner.Sleep(partsCtx, v.cfg.DrainDelay.Duration)
 		stopCallers()
 		err = <-callers
--- a/server/constants.go
+++ b/server/constants.go
@@ -37,6 +37,13 @@
 	AcceptQueueWait  = 2 * time.Millisecond   // the accept queue counts as empty after this time without a new connection
 	AcceptQueueLimit = 100 * time.Millisecond // the longest time for emptying the accept queue
 
+	// In a planned stop, requests under way are answered AnswerMargin before they would be cut off. A new request is
+	// refused unless so many objectives of its route are left, of a route whose requests must not run twice
+	// NeededObjectivesOnce.
+	AnswerMargin         = 100 * time.Millisecond
+	NeededObjectives     = 2
+	NeededObjectivesOnce = 4
+
 	FirstRequestWait  = 500 * time.Millisecond // while the server stops, a new connection counts as busy for this time
 	DrainPollInterval = 5 * time.Millisecond
 )
--- a/server/forward.go
+++ b/server/forward.go
@@ -58,6 +58,7 @@
 	TakeStarvedAttempts func() int        // returns how many attempts since the last call found no connection in time
 	Quarantine          *observer.Quarantine
 	Draining            func() bool
+	Stop                *Stop
 	OnDone              func(*RouteResult)                                   // called after every request
 	Merge               func(parts []scatterer.ShardReply, limit int) []byte // returns at most limit records of the shards' answers
 }
@@ -197,6 +198,9 @@
 	if !rr.start.Before(rr.deadline) {
 		return refuser.New(refuser.Overloaded, "no time is left")
 	}
+	if !h.Stop.Admits(time.Now(), rr.route) {
+		return refuser.New(refuser.Draining, "this VM stops before it could answer")
+	}
 	admitter := h.admitter(rr)
 	// Requests on routes belong to no team. Those of priority 0 are urgent.
 	if !admitter.Admit("", rr.route.Priority == 0) {
@@ -215,7 +219,9 @@
 // gather runs an admitted request and releases its concurrency slot, even if the request panics.
 func (h *RouteHandler) gather(r *http.Request, rr *routeRequest, admitter *limiter.Admitter) scatterer.Result {
 	defer admitter.Release("")
-	return h.Gather(r.Context(), h.scatterRequest(r, rr))
+	ctx, cancel := h.Stop.Limit(r.Context())
+	defer cancel()
+	return h.Gather(ctx, h.scatterRequest(r, rr))
 }
 
 // admitter returns the admitter for the request. Gathered requests and those that one searcher answers have an admitter
--- a/server/forward_panic_test.go
+++ b/server/forward_panic_test.go
@@ -29,6 +29,7 @@
 		TakeStarvedAttempts: func() int { return 0 },
 		Quarantine:          observer.NewQuarantine(),
 		Draining:            func() bool { return false },
+		Stop:                NewStop(),
 		OnDone:              func(*RouteResult) {},
 	}
 	for range 3 {
