Leave searchers alone that leave or that ask for no requests

Callers and searchers saw: nothing read that a searcher says in an answer that it leaves, nor that it asks for no requests for some time when it refuses one (503 with Retry-After). Both went on to get requests.

Change: a searcher that says that it leaves gets no request until it registers with another start time or name, whatever the store lists. One that asks for none gets none until the latest end that it named, at most max-backoff (10 minutes); attempts that waited for a connection are checked again before they are written and go elsewhere at no cost. Afterwards its cost is raised for SlowStart, so that requests return gradually. The picker decides for attempts of all kinds, with drains and limits; no connections are opened ahead. If too few searchers of a request's shards take requests, it is refused at once with the time until they do, to twice that. The soak's searchers announce that they leave, and refuse with Retry-After; a check counts what they get.

Not done: the own protocol has no such header yet, and orders on the own interface don't look at it; no scenario of its own in the prover; no benchmark of picks.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -93,6 +93,9 @@
 	MaxBodyBytes int
 	// ExpectedSearcher is the searcher that should have the address.
 	ExpectedSearcher modeler.SearcherName
+	// Allowed is asked right before the request is written; nil allows it. The searcher may have asked for no requests
+	// while the call waited for a connection.
+	Allowed func() bool
 	// Message is the caller's request, for wires that pass it on.
 	Message *Message
 }
@@ -117,11 +120,15 @@
 	Fault    gatherer.Fault
 	Body     []byte
 	Draining bool
+	Leaving  bool                 // the searcher leaves, and says so in all its answers from now on
+	Withheld bool                 // Call.Allowed did not allow the request
 	Held     []modeler.SnapshotID // snapshots of the call's index that the searcher holds; nil if it did not say
 	Late     bool                 // the deadline had passed before the request was sent or run
 	Limit    modeler.RateLimit    // as the searcher states it in this answer
-	AtLimit  bool                 // the searcher reset the new connection because other clients hold all that it allows
-	Err      error
+	// RetryAfter is how long the searcher wants no requests from this VM after it has refused this one; 0 if it didn't say.
+	RetryAfter time.Duration
+	AtLimit    bool // the searcher reset the new connection because other clients hold all that it allows
+	Err        error
 
 	// NativeWire leaves these empty.
 	Status      int
@@ -129,6 +136,9 @@
 	ContentType string
 }
 
+// errWithheld reports a call that Call.Allowed did not allow.
+var errWithheld = errors.New("the searcher has asked for no requests")
+
 // Do sends a call on one connection and returns the result. It never sends the call a second time.
 func (d *Dialer) Do(ctx context.Context, call Call) Reply {
 	p := d.pool(call.Address)
@@ -140,6 +150,10 @@
 		p.putUnused(c)
 		return Reply{Fault: gatherer.FaultNotSent, Late: late, Err: context.Cause(ctx)}
 	}
+	if call.Allowed != nil && !call.Allowed() {
+		p.putUnused(c)
+		return Reply{Fault: gatherer.FaultNotSent, Withheld: true, Err: errWithheld}
+	}
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
--- a/observer/limit.go
+++ b/observer/limit.go
@@ -53,12 +53,12 @@
 	return LimitUnchanged
 }
 
-// QuotaWait returns how long the VM must wait before its next request to the searcher by the searcher's limit. The
-// reserve is that of Quota.Wait.
-func (s *Searcher) QuotaWait(now time.Time, reserve float64) time.Duration {
+// Wait returns how long the VM must wait before its next request to the searcher, because the searcher has asked for none
+// or because of its limit. The reserve is that of Quota.Wait.
+func (s *Searcher) Wait(now time.Time, reserve float64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.limit.quota.Wait(now, reserve)
+	return max(s.backoffUntil.Sub(now), s.limit.quota.Wait(now, reserve))
 }
 
 // Tokens returns how many requests the searcher's limit lets the VM send at once, how many at most, and whether there is
--- a/observer/limit_test.go
+++ b/observer/limit_test.go
@@ -37,7 +37,7 @@
 			t.Errorf("%s: change is %d, want %d", tt.name, got, tt.want)
 		}
 	}
-	if s.QuotaWait(at(70), 0) != 0 {
+	if s.Wait(at(70), 0) != 0 {
 		t.Error("an ended limit still delays requests")
 	}
 }
@@ -52,7 +52,7 @@
 		t.Errorf("%.1f of %.1f requests, limited: %v, want 1 of 1", tokens, burst, limited)
 	}
 	s.Take(now)
-	if w := s.QuotaWait(now, 0); w != time.Second {
+	if w := s.Wait(now, 0); w != time.Second {
 		t.Errorf("wait is %v after the only request, want 1 s", w)
 	}
 }
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -20,6 +20,8 @@
 	ejectedUntil   time.Time
 	ejections      int // since the last answer
 	drainingUntil  time.Time
+	leaving        bool      // as the searcher itself said
+	backoffUntil   time.Time // until when the searcher asked for no requests
 	penaltyStart   time.Time // the cost is raised from this time on for SlowStart
 	snapshotsKnown bool      // the searcher has reported the snapshots of some index
 	snapshots      map[modeler.IndexName][]modeler.SnapshotID
@@ -152,7 +154,7 @@
 func (s *Searcher) Draining(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return now.Before(s.drainingUntil)
+	return s.leaving || now.Before(s.drainingUntil)
 }
 
 // Ejected reports whether the searcher is ejected because of failures.
@@ -216,7 +218,7 @@
 	for k, v := range s.snapshots {
 		held[k] = v
 	}
-	return State{s.inflight, modeler.Duration{Duration: time.Duration(s.latency)}, now.Before(s.drainingUntil), now.Before(s.ejectedUntil), held}
+	return State{s.inflight, modeler.Duration{Duration: time.Duration(s.latency)}, s.leaving || now.Before(s.drainingUntil), now.Before(s.ejectedUntil), held}
 }
 
 // updateLatency adds an answer's latency to the moving average. An answer is slow if its latency is more than
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -79,12 +79,12 @@
 }
 
 // isEligible reports whether a searcher is untried, lies outside the failure domain avoid, is available, and takes a
-// request now by the limit that it states.
+// request now by what it said in its answers.
 func (p *Picker) isEligible(now time.Time, r int32, tried []int32, avoid int32) bool {
 	if slices.Contains(tried, r) || p.View.Searchers[r].Domain == avoid {
 		return false
 	}
-	return p.isAvailable(now, r) && p.View.Searchers[r].Health.QuotaWait(now, p.Reserve) == 0
+	return p.isAvailable(now, r) && p.View.Searchers[r].Health.Wait(now, p.Reserve) == 0
 }
 
 // isAvailable reports whether a searcher neither drains nor has left, and is not known to lack the snapshot.
--- a/planner/quota.go
+++ b/planner/quota.go
@@ -12,7 +12,7 @@
 	left, most := 0.0, 0.0
 	for _, r := range p.View.Services[service].Searchers {
 		health := p.View.Searchers[r].Health
-		if !p.isAvailable(now, r) || health.Ejected(now) {
+		if !p.isAvailable(now, r) || health.Ejected(now) || health.BackingOff(now) {
 			continue
 		}
 		tokens, burst, limited := health.Tokens(now)
@@ -28,9 +28,9 @@
 	return 1 - left/most
 }
 
-// QuotaWait returns how long it takes until one of the shard's searchers takes a request by the limit that it states. It
-// is 0 if one does now, and if there are none.
-func (p *Picker) QuotaWait(now time.Time, shard int32) time.Duration {
+// Wait returns how long it takes until one of the shard's searchers takes a request by what it said in its answers. It is
+// 0 if one does now, and if there are none.
+func (p *Picker) Wait(now time.Time, shard int32) time.Duration {
 	service := p.Snapshot.Shards[shard].Service
 	if service < 0 {
 		return 0
@@ -40,7 +40,7 @@
 		if !p.isAvailable(now, r) {
 			continue
 		}
-		if w := p.View.Searchers[r].Health.QuotaWait(now, p.Reserve); least < 0 || w < least {
+		if w := p.View.Searchers[r].Health.Wait(now, p.Reserve); least < 0 || w < least {
 			least = w
 		}
 	}
--- a/planner/quota_test.go
+++ b/planner/quota_test.go
@@ -23,7 +23,7 @@
 	if r, ok := p.Pick(epoch, 0, nil); !ok || r != 2 {
 		t.Errorf("Pick returned searcher %d, %v; want 2, which has no limit", r, ok)
 	}
-	if s, w := p.Scarcity(epoch, 0), p.QuotaWait(epoch, 0); s != 0 || w != 0 {
+	if s, w := p.Scarcity(epoch, 0), p.Wait(epoch, 0); s != 0 || w != 0 {
 		t.Errorf("scarcity is %.2f and the wait %v while one searcher has no limit, want 0", s, w)
 	}
 	limitSearcher(v, 2, time.Second)
@@ -33,7 +33,7 @@
 	if s := p.Scarcity(epoch, 0); s < 0.5 || s > 0.6 {
 		t.Errorf("scarcity is %.2f with 1.25 of 3 requests left, want 0.58", s)
 	}
-	if w := p.QuotaWait(epoch, 0); w != 250*time.Millisecond {
+	if w := p.Wait(epoch, 0); w != 250*time.Millisecond {
 		t.Errorf("wait is %v, want that of searcher 1", w)
 	}
 	if r, ok := p.Pick(epoch.Add(250*time.Millisecond), 0, nil); !ok || r != 1 {
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -160,7 +160,7 @@
 }
 
 // runRouteUpkeep refreshes the connection shares, trims connections to searchers and idle ones of callers, warms
-// connections and reports overload and denied attempts, once every UpkeepPeriod.
+// connections and reports overload, denied attempts and searchers that may get requests again, once every UpkeepPeriod.
 func (v *VM) runRouteUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
 	defer ticker.Stop()
@@ -173,6 +173,7 @@
 			v.warm(ctx)
 			v.reportOverload()
 			v.reportDenied()
+			v.reportEndedBackoffs(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -180,7 +181,7 @@
 }
 
 // warm opens connections to searchers to which this VM may keep connections but has no free one, so that a hedge need
-// not wait for a new connection. It skips ejected searchers and leaving ones, whose UsableUntil is set. It opens at most
+// not wait for a new connection. It skips searchers that are ejected, leaving, or have asked for no requests. It opens at most
 // MaxConcurrentWarms at a time and starts from a random searcher.
 func (v *VM) warm(ctx context.Context) {
 	view := v.view.Load()
@@ -197,7 +198,7 @@
 		if len(results) == MaxConcurrentWarms {
 			break
 		}
-		if !s.UsableUntil.IsZero() || s.Health.Ejected(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
+		if !s.UsableUntil.IsZero() || !s.Health.Welcomes(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
 			continue
 		}
 		results = append(results, spawner.Go(ctx, func(ctx context.Context) error {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/scatterer"
 )
 
 // Listen holds the addresses on which a VM listens.
@@ -53,6 +54,7 @@
 	RetrySlack  float64                          `json:"retry-slack"`  // further extra attempts, a number
 	RetryWindow modeler.Duration                 `json:"retry-window"` // sliding window of ratio and slack
 	DrainWithin modeler.Duration                 `json:"drain-within"` // bounds the use of a searcher once its registration is deleted or leaving
+	MaxBackoff  modeler.Duration                 `json:"max-backoff"`  // longest time for which a searcher that asks for it gets no requests
 	FirstStart  bool                             `json:"first-start"`  // set on a fleet's first start: ask the seeds first
 }
 
@@ -122,10 +124,14 @@
 	if r.DrainWithin.Duration <= 0 {
 		p.Add("must be above 0", "routing", "drain-within")
 	}
+	if r.MaxBackoff.Duration < 0 {
+		p.Add("must not be negative", "routing", "max-backoff")
+	}
 }
 
 func (s *Settings) setDefaults() {
 	if s.Routing != nil {
+		setDefault(&s.Routing.MaxBackoff, scatterer.DefaultMaxBackoff)
 		setDefault(&s.DrainDelay, s.Routing.KillAfter.Duration/2)
 		setDefault(&s.Grace, s.Routing.KillAfter.Duration/2-LeaveMargin)
 	}
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -89,6 +89,7 @@
 	idleConns       server.IdleConns
 	storeLosses     storeLosses
 	shares          shareCache
+	backoffs        backoffs
 	platformCalls   atomic.Uint64
 	drainRequests   chan struct{}
 	pullRequests    chan gossiper.Member
@@ -175,7 +176,7 @@
 	v.admitter = limiter.NewAdmitter()
 	v.dialer = dialer.NewDialer(local, v.dialerOptions()...)
 	v.scatterer = scatterer.NewScatterer(v.dialer, v.observer, v.quarantine, v.recorder,
-		append([]scatterer.Option{scatterer.WithOnDraining(v.announceDrainingInBand), scatterer.WithOnQuarantine(v.announceQuarantine), scatterer.WithOnSuspect(v.announceSuspect), scatterer.WithOnSlow(v.announceSlow), scatterer.WithPressure(v.admitter.UnderPressure), scatterer.WithOnLimit(v.reportLimit), scatterer.WithDivide(v.quotaPart)}, v.mechanisms.Scatterer...)...)
+		append(v.scattererOptions(), v.mechanisms.Scatterer...)...)
 	v.store = configurer.NewStore(append(v.storeOptions(), v.mechanisms.Store...)...)
 	v.platformClient = watcher.NewClient(v.cfg.Platform, func() { v.platformCalls.Add(1) })
 	v.watcher = &watcher.Watcher{
@@ -187,6 +188,19 @@
 	v.buildPeers(local, clock)
 }
 
+func (v *VM) scattererOptions() []scatterer.Option {
+	options := []scatterer.Option{
+		scatterer.WithOnDraining(v.announceDrainingInBand), scatterer.WithOnQuarantine(v.announceQuarantine),
+		scatterer.WithOnSuspect(v.announceSuspect), scatterer.WithOnSlow(v.announceSlow),
+		scatterer.WithPressure(v.admitter.UnderPressure),
+		scatterer.WithOnLimit(v.reportLimit), scatterer.WithDivide(v.quotaPart), scatterer.WithOnBackoff(v.reportBackoff),
+	}
+	if v.cfg.Routing != nil {
+		options = append(options, scatterer.WithMaxBackoff(v.cfg.Routing.MaxBackoff.Duration))
+	}
+	return options
+}
+
 // buildPeers builds the parts that communicate with other VMs, and the orderer, which forwards orders to them.
 func (v *VM) buildPeers(local netip.Addr, clock *recorder.Clock) {
 	self := gossiper.Member{
--- a/scatterer/learn.go
+++ b/scatterer/learn.go
@@ -18,9 +18,7 @@
 	if res.reply.Held != nil {
 		health.SetSnapshots(r.req.Index.Name, res.reply.Held)
 	}
-	if res.reply.Draining && health.MarkDraining(now) {
-		r.s.onDraining(searcher)
-	}
+	r.heed(now, searcher, res)
 	switch {
 	case res.mismatch:
 		health.Failed(now, false) // false: the searcher was reached
@@ -48,15 +46,34 @@
 	}
 }
 
+// heed records that a searcher said in an answer that it drains or leaves, or that it wants no requests for some time.
+func (r *run) heed(now time.Time, s *planner.Searcher, res *attemptResult) {
+	if res.reply.Draining && s.Health.MarkDraining(now) {
+		r.s.onDraining(s)
+	}
+	if !isOwnAnswer(res.event.Fault) {
+		return
+	}
+	if res.reply.Leaving && s.Health.MarkLeaving(now) {
+		r.s.onDraining(s)
+	}
+	if d := min(res.reply.RetryAfter, r.s.maxBackoff); d > 0 && s.Health.BackOff(now, d) {
+		r.s.onBackoff(s, d)
+	}
+}
+
+// isOwnAnswer reports whether an attempt that ended with the fault brought an answer of its searcher to this request.
+func isOwnAnswer(f gatherer.Fault) bool {
+	return f == gatherer.FaultNone || f == gatherer.FaultShed || f == gatherer.FaultRejected
+}
+
 // updateLimit records the limit that a searcher states in its answer to an attempt that was sent at the given time.
 func (r *run) updateLimit(s *planner.Searcher, res *attemptResult, sent time.Time) {
-	switch res.event.Fault {
-	case gatherer.FaultNotSent:
+	if res.event.Fault == gatherer.FaultNotSent {
 		s.Health.GiveBack()
+	}
+	if !isOwnAnswer(res.event.Fault) {
 		return
-	case gatherer.FaultNone, gatherer.FaultShed, gatherer.FaultRejected:
-	default:
-		return // not an answer of this searcher
 	}
 	divide := func(perSecond float64) limiter.QuotaPart { return r.s.divide(s, perSecond) }
 	fraction := float64(r.s.random(fractionSteps)) / fractionSteps
@@ -86,13 +103,14 @@
 
 // isSearcherFault reports whether the searcher is to blame for a fault: it could not be reached, closed the connection,
 // stayed silent, or answered with an error or with something that cannot be read. It is not to blame if the deadline
-// passed before the attempt was sent, or if it is at its connection limit, since it still serves its open connections.
+// passed before the attempt was sent, if the attempt was withheld, or if the searcher is at its connection limit, since it
+// still serves its open connections.
 func isSearcherFault(res *attemptResult) bool {
 	switch res.event.Fault {
 	case gatherer.FaultLost, gatherer.FaultSilent, gatherer.FaultCorrupt, gatherer.FaultRejected:
 		return true
 	case gatherer.FaultNotSent:
-		return !res.reply.Late && !res.reply.AtLimit
+		return !res.reply.Late && !res.reply.AtLimit && !res.reply.Withheld
 	}
 	return false
 }
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -28,9 +28,9 @@
 		ShardReplies: r.shardReplies,
 		Rejection:    r.rejection,
 
-		Faults:     r.faultCounts,
-		MayHaveRun: r.query.MayHaveRun(),
-		QuotaWait:  r.quotaWait(now),
+		Faults:       r.faultCounts,
+		MayHaveRun:   r.query.MayHaveRun(),
+		SearcherWait: r.searcherWait(now),
 	}
 	res.Documents, res.TotalDocuments = r.query.Documents()
 	res.Sent, res.Primaries = r.query.AttemptCounts()
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -34,6 +34,8 @@
 	onDraining      func(*planner.Searcher)
 	onSlow          func(s *planner.Searcher, until time.Time)
 	onLimit         func(s *planner.Searcher, l modeler.RateLimit, change observer.LimitChange)
+	onBackoff       func(s *planner.Searcher, d time.Duration)
+	maxBackoff      time.Duration
 	divide          func(s *planner.Searcher, perSecond float64) limiter.QuotaPart
 	onQuarantine    func(observer.Fingerprint, time.Time)
 	onSuspect       func(observer.Fingerprint, time.Time)
@@ -69,6 +71,14 @@
 	return func(s *Scatterer) { s.onLimit = f }
 }
 
+// WithOnBackoff sets the callback for a searcher that asks for no requests during the given time.
+func WithOnBackoff(f func(s *planner.Searcher, d time.Duration)) Option {
+	return func(s *Scatterer) { s.onBackoff = f }
+}
+
+// WithMaxBackoff sets the longest time for which a searcher that asks for it gets no requests.
+func WithMaxBackoff(d time.Duration) Option { return func(s *Scatterer) { s.maxBackoff = d } }
+
 // WithDivide sets the function that returns this VM's part of a searcher's limit, in requests per second. Without it the
 // VM uses the whole limit.
 func WithDivide(f func(s *planner.Searcher, perSecond float64) limiter.QuotaPart) Option {
@@ -126,6 +136,8 @@
 		onDraining: func(*planner.Searcher) {},
 		onSlow:     func(*planner.Searcher, time.Time) {},
 		onLimit:    func(*planner.Searcher, modeler.RateLimit, observer.LimitChange) {},
+		onBackoff:  func(*planner.Searcher, time.Duration) {},
+		maxBackoff: DefaultMaxBackoff,
 		divide: func(_ *planner.Searcher, perSecond float64) limiter.QuotaPart {
 			return limiter.QuotaPartOf(perSecond, 1, 0)
 		},
@@ -188,7 +200,7 @@
 	Rejection    *dialer.Reply // the last error that a searcher answered with
 	MayHaveRun   bool          // a searcher may have run an attempt
 	Faults       gatherer.FaultCounts
-	QuotaWait    time.Duration       // if nothing was sent because of searchers' limits: until enough shards take requests again
+	SearcherWait time.Duration       // if nothing was sent: until searchers that asked for fewer requests take enough again
 	LeftOut      []modeler.ShardName // left out because of overload and unanswered, even if asked after all
 }
 
--- a/scatterer/shed.go
+++ b/scatterer/shed.go
@@ -63,15 +63,15 @@
 	return chosen[:min(len(chosen), limit)]
 }
 
-// quotaWait returns how long it takes until the searchers' limits let enough shards take requests for the least
-// coverage. It is 0 if they do now, and if an attempt was sent.
-func (r *run) quotaWait(now time.Time) time.Duration {
+// searcherWait returns how long it takes until enough shards for the least coverage have searchers that take requests. It
+// is 0 if they have now, and if an attempt was sent.
+func (r *run) searcherWait(now time.Time) time.Duration {
 	if r.query.RequestedAttempts() > 0 {
 		return 0
 	}
 	waits := make([]time.Duration, len(r.plan.Shards))
 	for i := range waits {
-		waits[i] = r.picker.QuotaWait(now, int32(i))
+		waits[i] = r.picker.Wait(now, int32(i))
 	}
 	slices.Sort(waits)
 	needed := len(waits) - maxMissing(len(waits), r.plan.LeastCoverage)
--- a/server/refusal.go
+++ b/server/refusal.go
@@ -18,8 +18,9 @@
 	switch {
 	case res.Crashed:
 		return refuser.New(refuser.Unserved, "the request crashed searchers and was stopped")
-	case res.QuotaWait > 0:
-		return refuser.New(refuser.Overloaded, "%s: the searchers' limits are used up for %v", detail, res.QuotaWait.Round(time.Millisecond)).After(spread(res.QuotaWait))
+	case res.SearcherWait > 0:
+		wait := res.SearcherWait
+		return refuser.New(refuser.Overloaded, "%s: too few searchers take requests for %v", detail, wait.Round(time.Millisecond)).After(spread(wait))
 	case !res.MayHaveRun && res.Faults == (gatherer.FaultCounts{}):
 		return refuser.New(refuser.Unregistered, "%s: too few searchers are registered", detail)
 	case !res.MayHaveRun && res.Shed > 0:
--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -214,6 +215,41 @@
 	}
 }
 
+// refuseFor returns an override for the searcher that refuses requests and asks for none during the given time. It checks
+// that at most two requests of an undisturbed VM come from half a second after its refusal to the end of that time.
+func (d *deployment) refuseFor(x *replica, wait time.Duration) imitator.Override {
+	var mu sync.Mutex
+	refusedAt, late := map[netip.Addr]time.Time{}, map[netip.Addr]int{}
+	refuse := imitator.RefuseFor(strconv.FormatFloat(wait.Seconds(), 'g', -1, 64))
+	return func(w http.ResponseWriter, r *http.Request) bool {
+		from, _ := netip.ParseAddrPort(r.RemoteAddr)
+		now := time.Now()
+		mu.Lock()
+		defer mu.Unlock()
+		since := now.Sub(refusedAt[from.Addr()])
+		switch {
+		case since >= wait:
+			refusedAt[from.Addr()], late[from.Addr()] = now, 0
+		case since > time.Second/2 && d.undisturbedSince(from.Addr(), refusedAt[from.Addr()]):
+			late[from.Addr()]++
+		}
+		if n := late[from.Addr()]; n == 3 {
+			d.history.addViolation("searcher %s got a third request from %s, %s after it had asked for none during %s", x.ID, from.Addr(), since, wait)
+		}
+		return refuse(w, r)
+	}
+}
+
+// undisturbedSince reports whether the VM at the address was not disturbed after the time.
+func (d *deployment) undisturbedSince(a netip.Addr, t time.Time) bool {
+	for _, v := range d.vms {
+		if v.addr == a {
+			return v.undisturbedSince().Before(t)
+		}
+	}
+	return false
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	return slices.SortedFunc(maps.Keys(m), cmp.Compare)
 }
--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -139,12 +139,21 @@
 		return false
 	}}
 	states := []faker.LinkState{faker.LinkCut, faker.LinkSilent, faker.LinkSlow, faker.LinkOneWay}
-	return f, &faultParams{
-		vm: d.vms[d.rnd.IntN(len(d.vms))], replica: x, override: overrides[d.rnd.IntN(len(overrides))], linkState: states[d.rnd.IntN(len(states))],
-		duration: time.Duration(300+d.rnd.IntN(2500)) * time.Millisecond, variant: d.rnd.IntN(2) == 0,
+	p := &faultParams{vm: d.vms[d.rnd.IntN(len(d.vms))], replica: x}
+	kind := d.rnd.IntN(len(overrides))
+	p.override = overrides[kind]
+	p.linkState = states[d.rnd.IntN(len(states))]
+	p.duration = time.Duration(300+d.rnd.IntN(2500)) * time.Millisecond
+	p.variant = d.rnd.IntN(2) == 0
+	if kind == 0 && p.variant {
+		p.override = d.refuseFor(x, refuseTime)
 	}
+	return f, p
 }
 
+// refuseTime is how long a searcher that refuses requests asks for none.
+const refuseTime = 1500 * time.Millisecond
+
 // retire starts a replacement for a searcher, then takes the searcher out of use. The searcher's entry in the store
 // changes to draining if announce is set, and is removed otherwise. A searcher that is already retired is left alone.
 func (d *deployment) retire(x *replica, announce bool) {
@@ -156,6 +165,7 @@
 			return
 		}
 		d.addReplica(x.Service)
+		x.SetOverride(imitator.Leave)
 		if announce {
 			d.store.Put("servers/"+x.ID, x.Registration("draining", x.proxy.Address.String()))
 		} else {
--- a/soaker/trip_test.go
+++ b/soaker/trip_test.go
@@ -49,6 +49,17 @@
 			d.vms = []*vm{{addr: netip.MustParseAddr("192.0.2.1")}}
 			d.retired = []*replica{x}
 		}, 1},
+		{"requests to a searcher that asked for none", func(d *deployment) {
+			x := searcherWithRuns(t, "board", "/lookup/a", "a", 0)
+			d.vms = []*vm{{addr: netip.MustParseAddr("192.0.2.1")}}
+			override := d.refuseFor(x, refuseTime)
+			for n := range 4 {
+				override(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/lookup/a", http.NoBody))
+				if n == 0 {
+					time.Sleep(refuseTime / 2)
+				}
+			}
+		}, 1},
 		{"answer to the request", func(d *deployment) {
 			d.checkAnswer(&vm{}, "a", "/book/a", &imitator.Answer{Status: 200, Stamps: []string{stamp}, Body: string(imitator.ShardAnswer(stamp))}, start, 0, true)
 		}, 0},
