--- a/dialer/codec.go
+++ b/dialer/codec.go
@@ -69,6 +69,7 @@
 		r.Fault, r.Draining = gatherer.FaultDraining, true
 	case RefusedShedding, RefusedLate:
 		r.Fault, r.Late = gatherer.FaultShed, refusal.Kind == RefusedLate
+		r.RetryAfter = ReadRetryAfter(&res.Header)
 	case RefusedNotHeld:
 		r.Fault = gatherer.FaultNotHeld
 	case RefusedLimit:
--- a/faker/answers.go
+++ b/faker/answers.go
@@ -51,7 +51,7 @@
 		return
 	}
 	if behaviour.Shed || !s.acquireSlot(r.Context(), timeBudget(r)) {
-		writeRefusal(w, dialer.RefusedShedding)
+		s.shed(w, from, behaviour)
 		return
 	}
 	s.record.Add(s.newRun(r, shard.Name, modeler.SnapshotID(id), false, body))
--- a/faker/expect.go
+++ b/faker/expect.go
@@ -139,6 +139,12 @@
 			n += x.Crashes()
 		}
 		return float64(n), "", nil
+	case "unwanted-requests":
+		n := 0
+		for _, x := range s.environment.Searchers {
+			n += x.Unwanted()
+		}
+		return float64(n), "", nil
 	case "connections-over":
 		return float64(s.searchersOverConnectionLimit()), "", nil
 	case "platform-calls":
--- a/faker/searcher.go
+++ b/faker/searcher.go
@@ -31,6 +31,7 @@
 	HideDraining        bool          // while draining, /health and /load look as if it were not
 	RefuseWhileDraining bool          // while draining, refuses searches and orders
 	Shed                bool          // sheds all searches and orders, i.e. refuses them as overloaded
+	RetryAfter          time.Duration // with Shed: asks the senders of searches for no requests during this time
 	CrashText           string        // crashes on a search whose body contains this text
 	RestartAfter        time.Duration // time from such a crash to the restart; 0 means no restart
 	SwapAnswers         bool          // answers a search with the answer to the previous search
@@ -58,6 +59,8 @@
 	previousAnswer []byte
 	random         *rand.Rand
 	crashes        int
+	backoffs       map[netip.Addr]time.Time // when the sender was last asked for no requests
+	unwanted       int                      // requests that came although their sender was asked for none
 	cancel         context.CancelFunc
 	done           <-chan error
 }
--- a/faker/verbs.go
+++ b/faker/verbs.go
@@ -218,7 +218,7 @@
 		"drain-health":   func(b *Behaviour) { b.Draining = true },
 		"drain-refusing": func(b *Behaviour) { b.Draining, b.RefuseWhileDraining = true, true },
 		"listed":         func(b *Behaviour) { b.Draining, b.HideDraining = true, true },
-		"shed":           func(b *Behaviour) { b.Shed = true },
+		"shed":           func(b *Behaviour) { b.Shed, b.RetryAfter = true, o.Duration("retry-after", 0) },
 		"cross":          func(b *Behaviour) { b.SwapAnswers = true },
 		"wrong-snapshot": func(b *Behaviour) { b.WrongSnapshot = true },
 		"truncate":       func(b *Behaviour) { b.Truncate = true },
--- a/faker/without.go
+++ b/faker/without.go
@@ -65,6 +65,8 @@
 		m.Store = append(m.Store, configurer.WithRevisionOrder(func(offered, held modeler.Revision) bool { return offered != held }))
 	case "refutation":
 		m.Node = append(m.Node, gossiper.WithRefutation(false))
+	case "backoff":
+		m.Scatterer = append(m.Scatterer, scatterer.WithMaxBackoff(0))
 	default:
 		return errors.Errorf("unknown mechanism %q", name)
 	}
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -63,8 +63,6 @@
 	call.Message = r.req.Forward.Message
 	call.ExpectedSearcher = r.req.View.Searchers[a.Searcher].Name
 	call.Deadline = r.req.Deadline
-	health := r.req.View.Searchers[a.Searcher].Health
-	call.Allowed = func() bool { return !health.BackingOff(r.s.now()) }
 	call.Linger = SingleLinger
 	if len(r.req.Snapshot.Shards) > 1 {
 		call.Linger = PartLinger
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -222,7 +222,8 @@
 	r.cancels = append(r.cancels, cancel)
 	r.attemptSearchers = append(r.attemptSearchers, a.Searcher)
 	r.reachedSearchers[a.Searcher] = true
-	r.req.View.Searchers[a.Searcher].Health.Take(r.s.now())
+	health := r.req.View.Searchers[a.Searcher].Health
+	health.Take(r.s.now())
 	r.recordAttempt(recorder.AttemptSent, a)
 	r.logExtra(a)
 	call := dialer.Call{
@@ -237,6 +238,7 @@
 		Body:          r.req.Body,
 		ProvenOnly:    a.Purpose != gatherer.Primary,
 		NewConnection: a.Purpose == gatherer.Probe,
+		Allowed:       func() bool { return !health.BackingOff(r.s.now()) },
 		Linger:        r.req.View.Services[r.req.View.Searchers[a.Searcher].Service].Contract.SetUp.Duration,
 	}
 	if r.req.Forward != nil {
