limiter: idle seconds of a new service don't count as requests lost to another VM

Callers saw: none; found by reading. Where the index is cut anew, a service is added some seconds before the configuration names it. These seconds counted as windows without requests, so hedges and retries there had only credits and slack for up to twenty seconds.

Change: the first request to a service within a window of its appearance begins the history. TestIdleTimeOfANewServiceDoesNotCount failed before (1 extra send, want 15).

--- a/limiter/quota.go
+++ b/limiter/quota.go
@@ -47,15 +47,9 @@
 	q.tokens = min(q.tokens, part.Burst)
 }
 
-// Clear removes the limit.
-func (q *Quota) Clear() { *q = Quota{} }
-
 // Limited reports whether there is a limit.
 func (q *Quota) Limited() bool { return q.limited }
 
-// Part returns the VM's part while there is a limit.
-func (q *Quota) Part() QuotaPart { return q.part }
-
 func (q *Quota) refill(now time.Time) {
 	if since := now.Sub(q.updatedAt).Seconds(); since > 0 {
 		q.tokens = min(q.part.Burst, q.tokens+since*q.part.Rate)
--- a/limiter/quota_test.go
+++ b/limiter/quota_test.go
@@ -111,7 +111,7 @@
 	if q.Wait(now, 0) != 0 {
 		t.Error("a request that was given back cannot be sent")
 	}
-	if q.Clear(); q.Limited() || q.Wait(now, 0) != 0 {
-		t.Error("a cleared quota still limits")
+	if none := (&Quota{}); none.Limited() || none.Wait(now, 0) != 0 {
+		t.Error("the zero Quota limits requests")
 	}
 }
--- a/limiter/window.go
+++ b/limiter/window.go
@@ -47,6 +47,7 @@
 type Window struct {
 	slotLength time.Duration
 	since      int64 // slot from which requests are known; before it they count as 0 if it is negative, else as unknown
+	used       bool  // a request was recorded
 	requests   [historySlots]int
 	earned     [creditSlots]float64
 	credits    [creditSlots]float64     // what is left of earned
@@ -54,8 +55,8 @@
 	lastSlot   int64
 }
 
-// newWindow returns a window whose earlier requests are unknown, because the service is new to the whole fleet, or
-// count as 0.
+// newWindow returns a window without requests. If the service is new to the whole fleet (isNew), earlier requests are
+// unknown, otherwise they count as 0.
 func newWindow(slotLength, now time.Duration, isNew bool) *Window {
 	w := &Window{slotLength: slotLength, since: -1, lastSlot: int64(now/slotLength) - 1}
 	if isNew {
@@ -75,9 +76,14 @@
 	w.lastSlot = max(w.lastSlot, n)
 }
 
-// Earn records a request. The ratio is that of the allowance.
+// Earn records a request. The ratio is that of the allowance. If it is the first one and comes soon after the service
+// was added, requests are known from here on, because callers may not have known the service before.
 func (w *Window) Earn(now time.Duration, ratio float64) {
 	w.advance(now)
+	if !w.used && w.since >= 0 && w.lastSlot-w.since < windowSlots {
+		w.since = w.lastSlot
+	}
+	w.used = true
 	w.requests[w.lastSlot%historySlots]++
 	w.earned[w.lastSlot%creditSlots] += ratio * CreditFraction
 	w.credits[w.lastSlot%creditSlots] += ratio * CreditFraction
--- a/limiter/window_test.go
+++ b/limiter/window_test.go
@@ -138,6 +138,19 @@
 	}
 }
 
+// A service is added, and seven seconds later callers begin to use it. The idle seconds must not count as requests that
+// the VM lost to another one.
+func TestIdleTimeOfANewServiceDoesNotCount(t *testing.T) {
+	w := newWindow(500*time.Millisecond, 0, true)
+	for at := 7 * time.Second; at < 17*time.Second; at += 100 * time.Millisecond {
+		w.Earn(at, 0.2)
+	}
+	steady, credits := 100*0.2*SteadyFraction, 6*5*0.2*CreditFraction
+	if n, want := spendAll(w, 17*time.Second-time.Millisecond, 0, 1), int(steady+credits); n != want {
+		t.Errorf("%d extra sends after ten seconds with 10 requests a second, want %d", n, want)
+	}
+}
+
 func TestCreditsExpire(t *testing.T) {
 	w := newWindow(500*time.Millisecond, 0, false)
 	for range 100 {
