runner, scatterer: options of limits only where routes are served; the end of a limit is logged without parts

Found by reading the change: a VM without routes would have had no regions to rank itself in, had its searchers stated a limit (the own protocol has none); the line for an ended limit printed a part of nothing. No change of behaviour on routes.

--- a/runner/quotas.go
+++ b/runner/quotas.go
@@ -43,11 +43,12 @@
 
 // reportLimit logs that a searcher's answers begin or cease to state a limit.
 func (v *VM) reportLimit(s *planner.Searcher, l modeler.RateLimit, change observer.LimitChange) {
-	began := change == observer.LimitBegan
-	if began {
-		v.counter("searchers.limited").Inc(1)
+	if change == observer.LimitEnded {
+		klog.InfoS("searcher: limit", "searcher", string(s.Name), "address", s.Address.String(), "limited", false)
+		return
 	}
+	v.counter("searchers.limited").Inc(1)
 	part := v.quotaPart(s, l.PerSecond)
-	klog.InfoS("searcher: limit", "searcher", string(s.Name), "address", s.Address.String(), "limited", began, "per-second", l.PerSecond,
+	klog.InfoS("searcher: limit", "searcher", string(s.Name), "address", s.Address.String(), "limited", true, "per-second", l.PerSecond,
 		"part-per-second", part.Rate, "burst", part.Burst, "vms", len(v.membership.Load().recent))
 }
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -190,12 +190,13 @@
 		scatterer.WithOnDraining(v.announceDrainingInBand), scatterer.WithOnQuarantine(v.announceQuarantine),
 		scatterer.WithOnSuspect(v.announceSuspect), scatterer.WithOnSlow(v.announceSlow),
 		scatterer.WithPressure(v.admitter.UnderPressure),
-		scatterer.WithOnLimit(v.reportLimit), scatterer.WithDivide(v.quotaPart), scatterer.WithOnBackoff(v.reportBackoff),
+		scatterer.WithOnBackoff(v.reportBackoff),
 	}
-	if v.cfg.Routing != nil {
-		options = append(options, scatterer.WithMaxBackoff(v.cfg.Routing.MaxBackoff.Duration))
+	if v.cfg.Routing == nil {
+		return options
 	}
-	return options
+	return append(options,
+		scatterer.WithOnLimit(v.reportLimit), scatterer.WithDivide(v.quotaPart), scatterer.WithMaxBackoff(v.cfg.Routing.MaxBackoff.Duration))
 }
 
 // buildPeers builds the parts that communicate with other VMs, and the orderer, which forwards orders to them.
--- a/scatterer/shed.go
+++ b/scatterer/shed.go
@@ -26,11 +26,10 @@
 
 // markOverloaded marks at most limit shards of overloaded services as left out.
 func (r *run) markOverloaded(plan *gatherer.Plan, limit int) {
-	n := len(plan.Shards)
 	if r.s.Shedder == nil {
 		return
 	}
-	names := make([]modeler.ServiceName, n)
+	names := make([]modeler.ServiceName, len(plan.Shards))
 	for i, shard := range r.req.Snapshot.Shards {
 		names[i] = r.serviceName(shard.Service)
 	}
@@ -55,7 +54,7 @@
 func chooseScarce(scarcity []float64, limit int, draw func() float64) []int {
 	var chosen []int
 	for i, x := range scarcity {
-		if (x-FreeScarcity)/(1-FreeScarcity) > draw() {
+		if x > FreeScarcity && (x-FreeScarcity)/(1-FreeScarcity) > draw() {
 			chosen = append(chosen, i)
 		}
 	}
