orderer: an order uses one view throughout

Callers could see: an order sent to another searcher than the one that was looked at, or a failed request, when the configuration changed in the moment between two reads of the view.

Cause: the service was taken from one view and its searchers' positions were used in a later one. Change: the view is read once. TestOrderUsesOneViewThroughout failed before (the index was out of range).

--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -62,7 +62,7 @@
 
 // Issue returns the text of a new ticket for the service. It sends nothing to a searcher.
 func (o *Orderer) Issue(service modeler.ServiceName) (string, error) {
-	if _, err := o.orderService(service); err != nil {
+	if _, _, err := o.orderService(service); err != nil {
 		return "", err
 	}
 	t, ok := o.tickets.Issue(time.Now(), service)
@@ -124,30 +124,30 @@
 	}
 }
 
-func (o *Orderer) orderService(n modeler.ServiceName) (*planner.Service, error) {
+// orderService returns a service that takes orders, and the view to whose searchers it refers.
+func (o *Orderer) orderService(n modeler.ServiceName) (*planner.View, *planner.Service, error) {
 	v := o.view()
 	if v == nil || v.Revision == 0 {
-		return nil, refuser.New(refuser.Unconfigured, "no configuration is in force yet")
+		return nil, nil, refuser.New(refuser.Unconfigured, "no configuration is in force yet")
 	}
 	i, ok := v.Service(n)
 	if !ok || !v.Services[i].Orders {
-		return nil, refuser.New(refuser.UnknownService, "service %q takes no orders", n)
+		return nil, nil, refuser.New(refuser.UnknownService, "service %q takes no orders", n)
 	}
-	return &v.Services[i], nil
+	return v, &v.Services[i], nil
 }
 
 // run sends the order to one searcher at a time, at most MaxAttempts times, and skips searchers that are draining.
 // It tries the next searcher only if the attempt before proved that the order did not run, or with WithProof(false)
 // after any attempt that failed.
 func (o *Orderer) run(ctx context.Context, s Submission) ticketer.Outcome {
-	service, err := o.orderService(s.Service)
+	v, service, err := o.orderService(s.Service)
 	if err != nil {
 		refusal := refuser.From(err)
 		return ticketer.Outcome{Kind: refusal.Kind, Detail: refusal.Detail}
 	}
 	ctx, cancel := context.WithDeadline(ctx, s.Deadline)
 	defer cancel()
-	v := o.view()
 	// The argument is above 0 even without searchers. The offsets 0 and len(service.Searchers) start at the same one.
 	offset := o.random(len(service.Searchers) + 1)
 	out := ticketer.Outcome{Kind: refuser.OrderRefused, Detail: "no searcher took the order"}
