--- a/observer/constants.go
+++ b/observer/constants.go
@@ -70,6 +70,9 @@
 	// DrainingMemory is how long after the last report of draining a searcher counts as draining.
 	DrainingMemory = 60 * time.Second
 
+	// DefaultMaxBackoff is the longest time for which a searcher that asks for it gets no requests, unless the settings say
+	// otherwise. It bounds what one searcher that asks for too much can do to its shard.
+	DefaultMaxBackoff = 10 * time.Minute
 	// DividePeriod is how long a VM's part of a searcher's limit is used before the limit is divided again.
 	DividePeriod = time.Second
 
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -10,6 +10,7 @@
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/parser"
 	"github.com/pistachiogap/pistachiogap/planner"
 	"github.com/pistachiogap/pistachiogap/recorder"
@@ -137,7 +138,7 @@
 	return v, &v.Services[i], nil
 }
 
-// run sends the order to one searcher at a time, at most MaxAttempts times, and skips searchers that are draining.
+// run sends the order to one searcher at a time, at most MaxAttempts times, and skips searchers that take no requests now.
 // It tries the next searcher only if the attempt before proved that the order did not run, or with WithProof(false)
 // after any attempt that failed.
 func (o *Orderer) run(ctx context.Context, s Submission) ticketer.Outcome {
@@ -154,7 +155,7 @@
 	attempts := 0
 	for i := range service.Searchers {
 		searcher := &v.Searchers[service.Searchers[(i+offset)%len(service.Searchers)]]
-		if attempts == MaxAttempts || searcher.Health.Draining(time.Now()) {
+		if attempts == MaxAttempts || !searcher.Health.Takes(time.Now(), 0) {
 			continue
 		}
 		var tryNext bool
@@ -181,6 +182,9 @@
 	if reply.Draining {
 		searcher.Health.MarkDraining(time.Now())
 	}
+	if reply.RetryAfter > 0 {
+		searcher.Health.BackOff(time.Now(), min(reply.RetryAfter, observer.DefaultMaxBackoff))
+	}
 	if reply.Fault == gatherer.FaultNone {
 		return o.decodeAnswer(s, attempt, reply), false
 	}
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
 	"github.com/pistachiogap/pistachiogap/recorder"
+	"github.com/pistachiogap/pistachiogap/refuser"
 	"github.com/pistachiogap/pistachiogap/ticketer"
 )
 
@@ -43,6 +44,20 @@
 	return netip.MustParseAddrPort(s.Listener.Addr().String())
 }
 
+func TestSearcherThatAsksForNoRequestsGetsNoOrders(t *testing.T) {
+	orders := 0
+	view := orderView(startRefusing(t, &orders))
+	o := newTestOrderer(func() *planner.View { return view })
+	for range 3 {
+		if out := o.run(context.Background(), Submission{Service: "desk", Deadline: time.Now().Add(time.Second)}); out.Kind != refuser.OrderRefused {
+			t.Errorf("outcome is %+v, want the order refused", out)
+		}
+	}
+	if orders != 1 {
+		t.Errorf("the searcher got %d orders, want none after it had refused the first", orders)
+	}
+}
+
 // The configuration changes while an order is sent. Searchers are numbered by view, so service and searchers must come
 // from the same one.
 func TestOrderUsesOneViewThroughout(t *testing.T) {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
-	"github.com/pistachiogap/pistachiogap/scatterer"
+	"github.com/pistachiogap/pistachiogap/observer"
 )
 
 // Listen holds the addresses on which a VM listens.
@@ -131,7 +131,7 @@
 
 func (s *Settings) setDefaults() {
 	if s.Routing != nil {
-		setDefault(&s.Routing.MaxBackoff, scatterer.DefaultMaxBackoff)
+		setDefault(&s.Routing.MaxBackoff, observer.DefaultMaxBackoff)
 		setDefault(&s.DrainDelay, s.Routing.KillAfter.Duration/2)
 		setDefault(&s.Grace, s.Routing.KillAfter.Duration/2-LeaveMargin)
 	}
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -137,7 +137,7 @@
 		onSlow:     func(*planner.Searcher, time.Time) {},
 		onLimit:    func(*planner.Searcher, modeler.RateLimit, observer.LimitChange) {},
 		onBackoff:  func(*planner.Searcher, time.Duration) {},
-		maxBackoff: DefaultMaxBackoff,
+		maxBackoff: observer.DefaultMaxBackoff,
 		divide: func(_ *planner.Searcher, perSecond float64) limiter.QuotaPart {
 			return limiter.QuotaPartOf(perSecond, 1, 0)
 		},
