--- /dev/null
+++ b/runner/leftalone.go
@@ -0,0 +1,70 @@
+package runner
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+	"github.com/pistachiogap/pistachiogap/planner"
+)
+
+// leftAlone holds the searchers that get no requests by their own word, until the end of that is logged.
+type leftAlone struct {
+	mu        sync.Mutex
+	byAddress map[netip.AddrPort]leaveAlone
+}
+
+// leaveAlone says since when a searcher gets no requests, and why.
+type leaveAlone struct {
+	searcher modeler.SearcherName
+	reason   string
+	since    time.Time
+}
+
+func (l *leftAlone) add(s *planner.Searcher, reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.byAddress == nil {
+		l.byAddress = map[netip.AddrPort]leaveAlone{}
+	}
+	l.byAddress[s.Address] = leaveAlone{s.Name, reason, time.Now()}
+}
+
+// takeEnded removes and returns the searchers that the view no longer has or that may get requests again.
+func (l *leftAlone) takeEnded(now time.Time, view *planner.View) map[netip.AddrPort]leaveAlone {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ended := map[netip.AddrPort]leaveAlone{}
+	for a, x := range l.byAddress {
+		if n, ok := view.SearcherAt(a); ok && (view.Searchers[n].Health.Draining(now) || view.Searchers[n].Health.BackingOff(now)) {
+			continue
+		}
+		ended[a] = x
+		delete(l.byAddress, a)
+	}
+	return ended
+}
+
+// reportBackoff logs that a searcher has asked for no requests during the given time.
+func (v *VM) reportBackoff(s *planner.Searcher, d time.Duration) {
+	v.counter("searchers.backoffs").Inc(1)
+	klog.InfoS("searcher: asks for no requests", "searcher", string(s.Name), "address", s.Address.String(), "for-ms", d.Milliseconds())
+	v.leftAlone.add(s, "asked for none")
+}
+
+// reportEndsOfLeavingAlone logs the searchers that are no longer left alone.
+func (v *VM) reportEndsOfLeavingAlone(now time.Time) {
+	view := v.view.Load()
+	if view == nil {
+		return
+	}
+	for a, x := range v.leftAlone.takeEnded(now, view) {
+		n, registered := view.SearcherAt(a)
+		registered = registered && view.Searchers[n].Name == x.searcher
+		klog.InfoS("searcher: no longer left alone", "searcher", string(x.searcher), "address", a.String(), "reason", x.reason,
+			"after-ms", now.Sub(x.since).Milliseconds(), "registered", registered)
+	}
+}
--- a/runner/news.go
+++ b/runner/news.go
@@ -67,7 +67,13 @@
 }
 
 // announceDrainingInBand announces a searcher that reported in an answer to a request that it is draining.
-func (v *VM) announceDrainingInBand(s *planner.Searcher) { v.announceDraining(s.Address, "in band") }
+func (v *VM) announceDrainingInBand(s *planner.Searcher) {
+	v.counter("searchers.drains-in-band").Inc(1)
+	v.announceDraining(s.Address, "in band")
+	if v.cfg.Routing != nil {
+		v.leftAlone.add(s, "leaves")
+	}
+}
 
 // announceDraining records and announces that a searcher is draining; source says how this VM learned of it.
 func (v *VM) announceDraining(a netip.AddrPort, source string) {
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -160,7 +160,7 @@
 }
 
 // runRouteUpkeep refreshes the connection shares, trims connections to searchers and idle ones of callers, warms
-// connections and reports overload, denied attempts and searchers that may get requests again, once every UpkeepPeriod.
+// connections and reports overload, denied attempts and searchers that are no longer left alone, once every UpkeepPeriod.
 func (v *VM) runRouteUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
 	defer ticker.Stop()
@@ -173,7 +173,7 @@
 			v.warm(ctx)
 			v.reportOverload()
 			v.reportDenied()
-			v.reportEndedBackoffs(time.Now())
+			v.reportEndsOfLeavingAlone(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -86,7 +86,7 @@
 	idleConns       server.IdleConns
 	storeLosses     storeLosses
 	shares          shareCache
-	backoffs        backoffs
+	leftAlone       leftAlone
 	platformCalls   atomic.Uint64
 	drainRequests   chan struct{}
 	pullRequests    chan gossiper.Member
