limiter: in the first two seconds of a service all requests pay for extra attempts

Callers saw: an idempotent request whose answer was lost was answered 502 instead of being sent once more, at ten requests a second in the second second after a fleet's first start. Found by tracing TestIdempotentRequestIsRetriedAfterALostAnswer, which is listed as having failed on a loaded machine: the load slows its requests, so that a connection to the searcher that loses answers is opened anew meanwhile.

Cause: a history of less than four slots counted as no steady requests, so after one retry only credits were left.

Change: while the history is shorter than that, all its requests count.

--- a/limiter/window.go
+++ b/limiter/window.go
@@ -105,7 +105,8 @@
 }
 
 // steadyRequests returns the fewest requests of any window that ended within the last window. Where the history is too
-// short for a window, its rate is extrapolated, but no more requests count than the history has.
+// short for a window, its rate is extrapolated, but no more requests count than the history has. All requests count while
+// it is shorter than minHistory.
 func (w *Window) steadyRequests() float64 {
 	if w.since < 0 && w.lastSlot < windowSlots {
 		return 0
@@ -124,7 +125,7 @@
 		}
 	}
 	if math.IsInf(fewest, 1) {
-		return 0
+		return float64(inWindow)
 	}
 	return fewest * float64(w.known(w.lastSlot)) / windowSlots
 }
--- a/limiter/window_test.go
+++ b/limiter/window_test.go
@@ -126,6 +126,7 @@
 		{"steady requests", 30 * time.Second, false, 5, 1, int(steady + credits + 5)},
 		{"a small share of little slack", 0, true, 1.2, 0.5, 1},
 		{"a share of all", 30 * time.Second, false, 5, 0.5, int((steady + credits + 5) / 2)},
+		{"the first second's requests to a new service", time.Second, true, 0, 1, int(steady/10 + 0.4)},
 		{"half a window's requests to a new service", 5 * time.Second, true, 0, 1, int(steady/2 + credits)},
 		{"half a window's requests after a restart", 5 * time.Second, false, 0, 1, int(credits)},
 		{"a window's requests after a restart", 10 * time.Second, false, 0, 1, int(credits)},
