scatterer: a simulated fleet's clock starts after its VMs

Cause: the simulated clock started before the VMs were made. When that takes long, as under the race detector beside the other packages, the first requests lie before the start of the VMs' windows, whose slots are then negative, and these count as no history. A VM never sees such times.

Change: the clock starts when the VMs exist.

--- a/scatterer/fleet_test.go
+++ b/scatterer/fleet_test.go
@@ -101,8 +101,7 @@
 func domainName(n int) string { return fmt.Sprintf("domain-%d", n%fleetDomains) }
 
 func newFleet(load fleetLoad) *fleet {
-	start := time.Now()
-	f := &fleet{fleetLoad: load, random: rand.New(rand.NewPCG(1, 2)), start: start, now: start, outcomes: map[string]*fleetOutcome{}}
+	f := &fleet{fleetLoad: load, random: rand.New(rand.NewPCG(1, 2)), outcomes: map[string]*fleetOutcome{}}
 	c := modeler.Configuration{}
 	snapshot := planner.Snapshot{}
 	for i := range load.shards {
@@ -135,6 +134,9 @@
 			windows: limiter.NewWindows(allowance, func() int { return load.vms }),
 		})
 	}
+	// The play begins after the VMs have started, which takes some time.
+	f.start = time.Now()
+	f.now = f.start
 	return f
 }
 
