auditor: say how many log lines are missing; names that a newcomer would have to ask about

Cause: VMs bound their log output, and `audit` counted the lines that were left without a word, so its shares can be too low. Names of the change were figurative: leftAlone, heed, Welcomes, Takes, spread.

Change: `audit` sums the lines that the VMs report as dropped and prints the sum. The names are exclusions, recordSignals, Connectable, AcceptsRequest, withJitter; the log line for an ended exclusion is "searcher: no longer excluded". No decision changes.

--- a/auditor/audit_test.go
+++ b/auditor/audit_test.go
@@ -45,6 +45,17 @@
 	}
 }
 
+func TestDroppedLinesAreReported(t *testing.T) {
+	l := NewLog()
+	const lines = `{"msg":"log: lines dropped","count":40}` + "\n" + `{"msg":"attempt: extra ones denied","count":7}` + "\n" + `{"msg":"log: lines dropped","count":2}`
+	if err := l.Read("a", strings.NewReader(lines)); err != nil {
+		t.Fatal(err)
+	}
+	if n := l.Dropped(); n != 42 {
+		t.Errorf("%d dropped lines, want 42", n)
+	}
+}
+
 func TestAuditCountsTheRequestsOfTheWindowBefore(t *testing.T) {
 	l := NewLog()
 	for _, part := range []string{logOf(0, 900, 0), logOf(10, 60, 60)} {
--- a/auditor/log.go
+++ b/auditor/log.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,7 @@
 const (
 	extraMessage  = "attempt: extra"
 	requestPrefix = "request: "
+	droppedPrefix = "log: lines dropped"
 )
 
 // line is the part of a log line that counts.
@@ -30,6 +32,7 @@
 	Service modeler.ServiceName `json:"shard"` // the shard of a route has the name of its service
 	Purpose string              `json:"purpose"`
 	TookMS  int64               `json:"took-ms"`
+	Dropped int                 `json:"count"` // of lines, in a line that reports dropped ones
 }
 
 // request is one request on a route.
@@ -50,6 +53,7 @@
 type Log struct {
 	requests map[modeler.RequestID]request
 	extras   map[modeler.ServiceName][]extra
+	dropped  int
 }
 
 // NewLog returns an empty log.
@@ -71,11 +75,16 @@
 	return errors.Wrapf(s.Err(), "log of %s", vm)
 }
 
+// Dropped returns how many lines the VMs have dropped to bound their output. Extra attempts in them are not counted.
+func (l *Log) Dropped() int { return l.dropped }
+
 func (l *Log) add(vm modeler.VMName, x *line) {
 	switch {
 	case x.Message == extraMessage:
 		l.extras[x.Service] = append(l.extras[x.Service], extra{x.Time, vm, x.ID, x.Purpose})
-	case len(x.Message) > len(requestPrefix) && x.Message[:len(requestPrefix)] == requestPrefix:
+	case strings.HasPrefix(x.Message, droppedPrefix):
+		l.dropped += x.Dropped
+	case strings.HasPrefix(x.Message, requestPrefix):
 		l.requests[x.ID] = request{x.Time.Add(-time.Duration(x.TookMS) * time.Millisecond), x.Route}
 	}
 }
--- a/commander/audit.go
+++ b/commander/audit.go
@@ -31,6 +31,9 @@
 					return err
 				}
 			}
+			if n := log.Dropped(); n > 0 {
+				_, _ = fmt.Fprintf(c.Root().ErrWriter, "the VMs have dropped %d lines; extra attempts in them are not counted\n", n)
+			}
 			return printAudit(c, log.Audit(limiter.Allowance{Ratio: c.Float("ratio"), Slack: c.Float("slack"), Window: c.Duration("window")}))
 		},
 	}
--- a/dialer/retryafter.go
+++ b/dialer/retryafter.go
@@ -9,7 +9,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// maxRetryAfter is far above any time that is believed, and below what a time.Duration can hold.
+// maxRetryAfter keeps the result within what a time.Duration can hold. It is far above the longest backoff in the settings.
 const maxRetryAfter = 1e9 // seconds
 
 // ReadRetryAfter returns how long a searcher wants no requests, by the longest Retry-After that can be read: a number of
--- a/observer/backoff.go
+++ b/observer/backoff.go
@@ -36,9 +36,9 @@
 	return isNew
 }
 
-// Takes reports whether the searcher takes a request from this VM now, by all that it or others said of it: it does not
-// leave or drain, has not asked for no requests, and its limit leaves room. The reserve is that of Quota.Wait.
-func (s *Searcher) Takes(now time.Time, reserve float64) bool {
+// AcceptsRequest reports whether the searcher takes a request from this VM now: it neither leaves nor drains, has not
+// asked for no requests, and its limit leaves room. The reserve is that of Quota.Wait.
+func (s *Searcher) AcceptsRequest(now time.Time, reserve float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.leaving || now.Before(s.drainingUntil) || now.Before(s.backoffUntil) {
@@ -47,9 +47,9 @@
 	return s.limit.quota.Wait(now, reserve) == 0
 }
 
-// Welcomes reports whether connections to the searcher may be opened ahead: it is neither ejected nor leaving, and has
+// Connectable reports whether connections to the searcher may be opened ahead: it is neither ejected nor leaving, and has
 // not asked for no requests.
-func (s *Searcher) Welcomes(now time.Time) bool {
+func (s *Searcher) Connectable(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.leaving && !now.Before(s.drainingUntil) && !now.Before(s.ejectedUntil) && !now.Before(s.backoffUntil)
--- a/observer/backoff_test.go
+++ b/observer/backoff_test.go
@@ -69,7 +69,7 @@
 	later := backoffStart.Add(time.Hour)
 	s.Begin(later)
 	s.Answered(later, time.Millisecond)
-	if s = o.Join(addr, "a", backoffStart, service); !s.Draining(later) || s.Welcomes(later) {
+	if s = o.Join(addr, "a", backoffStart, service); !s.Draining(later) || s.Connectable(later) {
 		t.Error("a searcher that leaves gets requests again, though it is still registered as before")
 	}
 	if s = o.Join(addr, "a", later, service); s.Draining(later) {
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -155,7 +155,7 @@
 	attempts := 0
 	for i := range service.Searchers {
 		searcher := &v.Searchers[service.Searchers[(i+offset)%len(service.Searchers)]]
-		if attempts == MaxAttempts || !searcher.Health.Takes(time.Now(), 0) {
+		if attempts == MaxAttempts || !searcher.Health.AcceptsRequest(time.Now(), 0) {
 			continue
 		}
 		var tryNext bool
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -78,13 +78,13 @@
 	return p.cheapest(now, candidates, service)
 }
 
-// isEligible reports whether a searcher is untried, lies outside the failure domain avoid, has not left, takes a request
-// now by what it said, and is not known to lack the snapshot.
+// isEligible reports whether a searcher is untried, lies outside the failure domain avoid, has not left, accepts a
+// request now, and is not known to lack the snapshot.
 func (p *Picker) isEligible(now time.Time, r int32, tried []int32, avoid int32) bool {
 	if slices.Contains(tried, r) || p.View.Searchers[r].Domain == avoid {
 		return false
 	}
-	return !p.hasLeft(now, r) && p.View.Searchers[r].Health.Takes(now, p.Reserve) && p.mayHold(r)
+	return !p.hasLeft(now, r) && p.View.Searchers[r].Health.AcceptsRequest(now, p.Reserve) && p.mayHold(r)
 }
 
 // isAvailable reports whether a searcher neither drains nor has left, and is not known to lack the snapshot.
--- a/runner/leftalone.go
+++ b/runner/exclusions.go
@@ -11,33 +11,33 @@
 	"github.com/pistachiogap/pistachiogap/planner"
 )
 
-// leftAlone holds the searchers that get no requests by their own word, until the end of that is logged.
-type leftAlone struct {
+// exclusions holds the searchers that leave or have asked for no requests, until the end of that is logged.
+type exclusions struct {
 	mu        sync.Mutex
-	byAddress map[netip.AddrPort]leaveAlone
+	byAddress map[netip.AddrPort]exclusion
 }
 
-// leaveAlone says since when a searcher gets no requests, and why.
-type leaveAlone struct {
+// exclusion says since when a searcher gets no requests, and the reason that it gave.
+type exclusion struct {
 	searcher modeler.SearcherName
 	reason   string
 	since    time.Time
 }
 
-func (l *leftAlone) add(s *planner.Searcher, reason string) {
+func (l *exclusions) add(s *planner.Searcher, reason string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.byAddress == nil {
-		l.byAddress = map[netip.AddrPort]leaveAlone{}
+		l.byAddress = map[netip.AddrPort]exclusion{}
 	}
-	l.byAddress[s.Address] = leaveAlone{s.Name, reason, time.Now()}
+	l.byAddress[s.Address] = exclusion{s.Name, reason, time.Now()}
 }
 
 // takeEnded removes and returns the searchers that the view no longer has or that may get requests again.
-func (l *leftAlone) takeEnded(now time.Time, view *planner.View) map[netip.AddrPort]leaveAlone {
+func (l *exclusions) takeEnded(now time.Time, view *planner.View) map[netip.AddrPort]exclusion {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	ended := map[netip.AddrPort]leaveAlone{}
+	ended := map[netip.AddrPort]exclusion{}
 	for a, x := range l.byAddress {
 		if n, ok := view.SearcherAt(a); ok && (view.Searchers[n].Health.Draining(now) || view.Searchers[n].Health.BackingOff(now)) {
 			continue
@@ -52,19 +52,19 @@
 func (v *VM) reportBackoff(s *planner.Searcher, d time.Duration) {
 	v.counter("searchers.backoffs").Inc(1)
 	klog.InfoS("searcher: asks for no requests", "searcher", string(s.Name), "address", s.Address.String(), "for-ms", d.Milliseconds())
-	v.leftAlone.add(s, "asked for none")
+	v.exclusions.add(s, "asked for none")
 }
 
-// reportEndsOfLeavingAlone logs the searchers that are no longer left alone.
-func (v *VM) reportEndsOfLeavingAlone(now time.Time) {
+// reportEndedExclusions logs the searchers that are no longer excluded.
+func (v *VM) reportEndedExclusions(now time.Time) {
 	view := v.view.Load()
 	if view == nil {
 		return
 	}
-	for a, x := range v.leftAlone.takeEnded(now, view) {
+	for a, x := range v.exclusions.takeEnded(now, view) {
 		n, registered := view.SearcherAt(a)
 		registered = registered && view.Searchers[n].Name == x.searcher
-		klog.InfoS("searcher: no longer left alone", "searcher", string(x.searcher), "address", a.String(), "reason", x.reason,
+		klog.InfoS("searcher: no longer excluded", "searcher", string(x.searcher), "address", a.String(), "reason", x.reason,
 			"after-ms", now.Sub(x.since).Milliseconds(), "registered", registered)
 	}
 }
--- a/runner/news.go
+++ b/runner/news.go
@@ -71,7 +71,7 @@
 	v.counter("searchers.drains-in-band").Inc(1)
 	v.announceDraining(s.Address, "in band")
 	if v.cfg.Routing != nil {
-		v.leftAlone.add(s, "leaves")
+		v.exclusions.add(s, "leaves")
 	}
 }
 
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -171,7 +171,7 @@
 }
 
 // runRouteUpkeep refreshes the connection shares, trims connections to searchers and idle ones of callers, warms
-// connections and reports overload, denied attempts and searchers that are no longer left alone, once every UpkeepPeriod.
+// connections and reports overload, denied attempts and searchers that are no longer excluded, once every UpkeepPeriod.
 func (v *VM) runRouteUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
 	defer ticker.Stop()
@@ -184,7 +184,7 @@
 			v.warm(ctx)
 			v.reportOverload()
 			v.reportDenied()
-			v.reportEndsOfLeavingAlone(time.Now())
+			v.reportEndedExclusions(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -209,7 +209,7 @@
 		if len(results) == MaxConcurrentWarms {
 			break
 		}
-		if !s.UsableUntil.IsZero() || !s.Health.Welcomes(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
+		if !s.UsableUntil.IsZero() || !s.Health.Connectable(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
 			continue
 		}
 		results = append(results, spawner.Go(ctx, func(ctx context.Context) error {
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -86,7 +86,7 @@
 	idleConns       server.IdleConns
 	storeLosses     storeLosses
 	shares          shareCache
-	leftAlone       leftAlone
+	exclusions      exclusions
 	platformCalls   atomic.Uint64
 	drainRequests   chan struct{}
 	pullRequests    chan gossiper.Member
--- a/scatterer/learn.go
+++ b/scatterer/learn.go
@@ -18,7 +18,7 @@
 	if res.reply.Held != nil {
 		health.SetSnapshots(r.req.Index.Name, res.reply.Held)
 	}
-	r.heed(now, searcher, res)
+	r.recordSignals(now, searcher, res)
 	switch {
 	case res.mismatch:
 		health.Failed(now, false) // false: the searcher was reached
@@ -46,8 +46,8 @@
 	}
 }
 
-// heed records that a searcher said in an answer that it drains or leaves, or that it wants no requests for some time.
-func (r *run) heed(now time.Time, s *planner.Searcher, res *attemptResult) {
+// recordSignals records that a searcher said in an answer that it drains or leaves, or that it wants no requests for some time.
+func (r *run) recordSignals(now time.Time, s *planner.Searcher, res *attemptResult) {
 	if res.reply.Draining && s.Health.MarkDraining(now) {
 		r.s.onDraining(s)
 	}
--- a/server/refusal.go
+++ b/server/refusal.go
@@ -20,7 +20,7 @@
 		return refuser.New(refuser.Unserved, "the request crashed searchers and was stopped")
 	case res.SearcherWait > 0:
 		wait := res.SearcherWait
-		return refuser.New(refuser.Overloaded, "%s: too few searchers take requests for %v", detail, wait.Round(time.Millisecond)).After(spread(wait))
+		return refuser.New(refuser.Overloaded, "%s: too few searchers take requests for %v", detail, wait.Round(time.Millisecond)).After(withJitter(wait))
 	case !res.MayHaveRun && res.Faults == (gatherer.FaultCounts{}):
 		return refuser.New(refuser.Unregistered, "%s: too few searchers are registered", detail)
 	case !res.MayHaveRun && res.Shed > 0:
@@ -31,8 +31,8 @@
 	return refuser.New(refuser.Unserved, "%s", detail)
 }
 
-// spread returns a random time from d to twice d, so that callers that are refused together return one by one.
-func spread(d time.Duration) time.Duration {
+// withJitter returns a random time from d to twice d, so that callers that are refused together return one by one.
+func withJitter(d time.Duration) time.Duration {
 	d = max(d, MinRetryAfter)
 	return d + rand.N(d)
 }
