review: show that a leaving searcher gets requests that waited for a connection

Cause: a request keeps its searcher and its view; neither the pool nor a later attempt asks again whether the searcher leaves.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -66,7 +66,7 @@
 	var copying func() bool
 	zones := []string{"ro-east-a", "ro-west-a", "eu-central-a"}
 	for i, zone := range zones {
-		b := &backEnd{worker: stand.NewWorker(), faulty: trouble && i < 2, copies: map[string][]byte{}, ofID: map[string]string{}}
+		b := &backEnd{worker: stand.NewWorker(stand.Slots, stand.Queue), faulty: trouble && i < 2, copies: map[string][]byte{}, ofID: map[string]string{}}
 		b.Searcher, err = stand.NewSearcher(fmt.Sprintf("i-%d", i+1), service, zone, stand.AnyPort, func(c *stand.Call) []byte {
 			return b.handle(c, rec, runs, copying)
 		})
--- a/review/stand/searcher.go
+++ b/review/stand/searcher.go
@@ -134,7 +134,8 @@
 	}
 }
 
-// Slots is how many requests a searcher runs at once, and Queue how many more wait for a slot.
+// Slots is how many requests a searcher runs at once, and Queue how many more wait for a slot, where a script does not
+// say otherwise.
 const (
 	Slots = 2
 	Queue = 2
@@ -168,16 +169,19 @@
 type Worker struct {
 	mu      sync.Mutex
 	present int
+	most    int
 	slots   chan struct{}
 }
 
-// NewWorker returns a worker with Slots slots and Queue places.
-func NewWorker() *Worker { return &Worker{slots: make(chan struct{}, Slots)} }
+// NewWorker returns a worker with so many slots and so many places in its queue.
+func NewWorker(slots, queue int) *Worker {
+	return &Worker{most: slots + queue, slots: make(chan struct{}, slots)}
+}
 
 // Run waits for a slot and runs the work in it, or returns false at once if the queue is full.
 func (w *Worker) Run(work func()) bool {
 	w.mu.Lock()
-	if w.present >= Slots+Queue {
+	if w.present >= w.most {
 		w.mu.Unlock()
 		return false
 	}
