--- a/review/stand/vm.go
+++ b/review/stand/vm.go
@@ -41,6 +41,9 @@
 	dir string
 }
 
+// firstNet is the second byte of the loopback address of a script's first VM.
+const firstNet = 111
+
 // AnyPort is a free port of the loopback address, for searchers.
 var AnyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
@@ -66,8 +69,10 @@
 	ports := make([][4]netip.AddrPort, len(zones))
 	var seeds []string
 	for i := range zones {
-		// A loopback address of its own for each VM, from which it also calls the searchers.
-		host := netip.AddrFrom4([4]byte{127, 0, 0, byte(11 + i)})
+		// A loopback address of its own for each VM of each script, from which the VM also calls the searchers, so that
+		// nothing else takes a port between its choice and its use.
+		pid := os.Getpid()
+		host := netip.AddrFrom4([4]byte{127, byte(firstNet + i), byte(pid >> 8), byte(pid)})
 		for k := range ports[i] {
 			if ports[i][k], err = freePort(host); err != nil {
 				return f, err
