dialer: only a refusal that names the attempt proves that it did not run

What callers would see: as on routes, an order that runs twice, on searchers that speak the tier's own protocol. Cause: the same as on the platform's wire, found by reading: a refusal had only a kind, so a late second copy of another attempt's refusal proved that this one had not run. A refused connection names no attempt; it is believed as the first answer on its connection only. Calls between VMs are matched by HTTP/2 streams and need nothing; the load endpoint is asked by searchers' checks, which prove nothing of requests. The stand-ins of the other tests repeat the id now; what they check is unchanged.

--- a/dialer/codec.go
+++ b/dialer/codec.go
@@ -24,7 +24,7 @@
 
 // NativeWire returns the query tier's own searcher protocol: JSON bodies and the Header constants.
 func NativeWire() Wire {
-	return Wire{HasLoad: true, Fill: encodeNative, Read: func(res *fasthttp.Response, _ *Call) Reply { return decodeNative(res) }}
+	return Wire{HasLoad: true, Fill: encodeNative, Read: decodeNative}
 }
 
 func encodeNative(req *fasthttp.Request, call *Call, remaining time.Duration) {
@@ -46,7 +46,13 @@
 	req.SetBodyRaw(call.Body)
 }
 
-func decodeNative(res *fasthttp.Response) Reply {
+// decodeNative decodes an answer. An answer that names another attempt says nothing about the call. One with status 200
+// names its attempt in its body too, which the caller of Do checks.
+func decodeNative(res *fasthttp.Response, call *Call) Reply {
+	attempt := string(res.Header.Peek(HeaderAttempt))
+	if attempt != "" && attempt != call.Attempt {
+		return Reply{Fault: gatherer.FaultCrossed}
+	}
 	r := Reply{
 		Body:     bytes.Clone(res.Body()),
 		Draining: string(res.Header.Peek(HeaderDraining)) == "true",
@@ -59,17 +65,27 @@
 	if res.StatusCode() == fasthttp.StatusOK {
 		return r
 	}
-	r.Fault = gatherer.FaultRejected
 	refusal, err := parser.DecodeStrict[SearcherRefusal](r.Body)
 	if err != nil {
+		r.Fault = gatherer.FaultRejected
 		return r
 	}
-	switch refusal.Kind {
+	// Only on a new connection can a refusal that names no attempt not be a late copy of an earlier one.
+	if attempt == "" && (refusal.Kind != RefusedLimit || !call.onNewConn) {
+		return Reply{Fault: gatherer.FaultCrossed}
+	}
+	return withRefusal(r, refusal.Kind, &res.Header)
+}
+
+// withRefusal returns the reply with what the refusal of its call says.
+func withRefusal(r Reply, kind RefusalKind, h *fasthttp.ResponseHeader) Reply {
+	r.Fault = gatherer.FaultRejected
+	switch kind {
 	case RefusedDraining:
 		r.Fault, r.Draining = gatherer.FaultDraining, true
 	case RefusedShedding, RefusedLate:
-		r.Fault, r.Late = gatherer.FaultShed, refusal.Kind == RefusedLate
-		r.RetryAfter = ReadRetryAfter(&res.Header)
+		r.Fault, r.Late = gatherer.FaultShed, kind == RefusedLate
+		r.RetryAfter = ReadRetryAfter(h)
 	case RefusedNotHeld:
 		r.Fault = gatherer.FaultNotHeld
 	case RefusedLimit:
--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -43,7 +43,7 @@
 // Headers of the native searcher protocol.
 const (
 	HeaderRequest    = "Request-Id"
-	HeaderAttempt    = "Attempt-Id"
+	HeaderAttempt    = "Attempt-Id" // repeated in each answer but the refusal of a connection
 	HeaderSnapshot   = "Snapshot"
 	HeaderShard      = "Shard"
 	HeaderIndex      = "Index"
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -98,6 +98,8 @@
 	Allowed func() bool
 	// Message is the caller's request, for wires that pass it on.
 	Message *Message
+
+	onNewConn bool // set by Do: no other call has used the connection
 }
 
 func (c *Call) maxBodyBytes() int {
@@ -163,6 +165,7 @@
 	if silent, err := c.exchange(ctx, req, res, call.Linger, call.maxBodyBytes()); err != nil {
 		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent), Err: err}
 	}
+	call.onNewConn = c.isNew()
 	r := d.decode(res, &call)
 	if r.Fault == gatherer.FaultCrossed || r.Err != nil || c.hasUnreadBytes() {
 		p.retire(c, false, time.Time{})
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -294,7 +294,7 @@
 	}
 	for _, tt := range tests {
 		s := startSearcher(t, func(c net.Conn, _ int64) bool {
-			_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", tt.status, len(tt.body), tt.body)
+			_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nAttempt-Id: r.0\r\nContent-Length: %d\r\n\r\n%s", tt.status, len(tt.body), tt.body)
 			return err == nil
 		})
 		if r := newTestDialer(t, 1).Do(t.Context(), call(s)); r.Fault != tt.want {
@@ -386,7 +386,7 @@
 		req.SetRequestURI("/load")
 		req.Header.SetHost("x")
 		if _, err := newConn(client).exchange(t.Context(), req, res, 0, MaxAnswerBytes); err == nil {
-			decodeNative(res)
+			decodeNative(res, &Call{})
 		}
 		_ = client.Close()
 		<-done
--- a/faker/answers.go
+++ b/faker/answers.go
@@ -36,6 +36,7 @@
 	body, _ := io.ReadAll(r.Body)
 	behaviour, _ := s.currentBehaviour()
 	index := modeler.IndexName(r.Header.Get(dialer.HeaderIndex))
+	w.Header().Set(dialer.HeaderAttempt, r.Header.Get(dialer.HeaderAttempt))
 	w.Header().Set(dialer.HeaderHeld, s.heldIDs(index))
 	if behaviour.Draining && behaviour.RefuseWhileDraining {
 		writeRefusal(w, dialer.RefusedDraining)
@@ -144,6 +145,7 @@
 	body, _ := io.ReadAll(r.Body)
 	behaviour, _ := s.currentBehaviour()
 	deadline, _ := strconv.ParseInt(r.Header.Get(dialer.HeaderDeadlineAt), 10, 64)
+	w.Header().Set(dialer.HeaderAttempt, r.Header.Get(dialer.HeaderAttempt))
 	switch {
 	case behaviour.Draining && behaviour.RefuseWhileDraining:
 		writeRefusal(w, dialer.RefusedDraining)
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -34,8 +34,9 @@
 
 // startRefusing starts a searcher that refuses orders and asks for none, and counts them.
 func startRefusing(t *testing.T, orders *int) netip.AddrPort {
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		*orders++
+		w.Header().Set(dialer.HeaderAttempt, r.Header.Get(dialer.HeaderAttempt))
 		w.Header().Set("Retry-After", "60")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		_, _ = w.Write([]byte(`{"kind": "shedding"}`))
