Ask at the moment of writing, for all attempts, whether a searcher may still be sent requests

What callers saw: nothing; searchers that leave got requests up to 7.8 s (script) after the store had accepted that, with a bound of 3 s. Cause: a request is assigned to a searcher and then waits for a connection. Leaving was known to the choice only: as UsableUntil in the view of the request's start, which later views don't change. The moment of writing asked about Retry-After alone; hedges and probes back to the first searcher asked nothing. Calls that waited in the pool of a searcher that left the view waited until their deadline. Change: what is known of leaving is part of the searcher's one state (observer.Searcher), which all views, answers and VMs' news change; a state that another searcher, incarnation or service has replaced says so. MaySend is asked by the choice, by hedges and probes back to a searcher, for orders of the own protocol, and right before a request is written. Calls that wait for a connection are turned back within 100 ms, as not sent: another searcher gets them without a charge, orders too. A dropped pool turns its waiting calls back.

--- a/dialer/closing.go
+++ b/dialer/closing.go
@@ -50,7 +50,7 @@
 func (p *pool) admitWaiters(now time.Time) {
 	for !p.closed && len(p.waiters) > 0 && p.hasRoom(now) {
 		p.open++
-		p.popWaiter() <- grant{}
+		p.popWaiter().granted <- grant{}
 	}
 	if p.closed || p.closing.timerSet || len(p.waiters) == 0 || p.closing.count(now) == 0 {
 		return
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -93,8 +93,8 @@
 	MaxBodyBytes int
 	// ExpectedSearcher is the searcher that should have the address.
 	ExpectedSearcher modeler.SearcherName
-	// Allowed is asked right before the request is written; nil allows it. The searcher may have asked for no requests
-	// while the call waited for a connection.
+	// Allowed is asked right before the request is written, and by Dialer.TurnBackWaiters while the call waits for a
+	// connection; nil allows it. The searcher may have begun to leave since it was picked, or have asked for no requests.
 	Allowed func() bool
 	// Message is the caller's request, for wires that pass it on.
 	Message *Message
@@ -123,7 +123,7 @@
 	Body     []byte
 	Draining bool
 	Leaving  bool                 // the searcher leaves, and says so in all its answers from now on
-	Withheld bool                 // Call.Allowed did not allow the request
+	Withheld bool                 // Call.Allowed did not allow the request, or the VM dropped the searcher's connections
 	Held     []modeler.SnapshotID // snapshots of the call's index that the searcher holds; nil if it did not say
 	Late     bool                 // the deadline had passed before the request was sent or run
 	Limit    modeler.RateLimit    // as the searcher states it in this answer
@@ -138,15 +138,15 @@
 	ContentType string
 }
 
-// errWithheld reports a call that Call.Allowed did not allow.
-var errWithheld = errors.New("the searcher has asked for no requests")
+// errWithheld reports a call that was not sent because Call.Allowed did not allow it, or the pool was closed.
+var errWithheld = errors.New("the searcher leaves or has asked for no requests")
 
 // Do sends a call on one connection and returns the result. It never sends the call a second time.
 func (d *Dialer) Do(ctx context.Context, call Call) Reply {
 	p := d.pool(call.Address)
-	c, err := p.take(ctx, d.now(), d.silence.minLastRead(), idlePolicyOf(call))
+	c, err := p.take(ctx, d.now(), d.silence.minLastRead(), idlePolicyOf(call), call.Allowed)
 	if err != nil {
-		return Reply{Fault: gatherer.FaultNotSent, AtLimit: errors.Is(err, errAtLimit), Err: err}
+		return Reply{Fault: gatherer.FaultNotSent, AtLimit: errors.Is(err, errAtLimit), Withheld: errors.Is(err, errWithheld), Err: err}
 	}
 	if late := !d.now().Before(call.Deadline); late || ctx.Err() != nil {
 		p.putUnused(c)
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -254,7 +254,7 @@
 	now := time.Now()
 	var inUse []*conn
 	for range 2 {
-		c, err := p.take(t.Context(), now, time.Time{}, anyIdle)
+		c, err := p.take(t.Context(), now, time.Time{}, anyIdle, nil)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -263,7 +263,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	waitErr := make(chan error, 1)
 	go func() {
-		_, err := p.take(ctx, now, time.Time{}, anyIdle)
+		_, err := p.take(ctx, now, time.Time{}, anyIdle, nil)
 		waitErr <- err
 	}()
 	for _, waiting := p.size(); waiting == 0; _, waiting = p.size() {
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -20,16 +20,13 @@
 	closing     closingConns
 	limit       int
 	shrunkAt    time.Time
-	waiters     []chan grant
+	waiters     []*waiter
 	closed      bool
 	minLastRead time.Time // idle connections last read before this are closed instead of used
 	lastAnswer  time.Time // when a connection was last answered on, or a new one was last kept
 	lastReset   time.Time // when recordReset was last called
 }
 
-// grant gives a waiter a connection or, if conn is nil, a budget slot in which to open one.
-type grant struct{ conn *conn }
-
 // idlePolicy selects the idle connections that a call may use.
 type idlePolicy uint8
 
@@ -39,9 +36,9 @@
 	newOnly               // none; while waiting for the budget, a call still gets a connection that is put back
 )
 
-// take returns a connection within the budget, and waits for one if needed.
+// take returns a connection within the budget, and waits for one if needed, as long as allowed says so; nil always does.
 // Idle connections last read before minLastRead are closed instead of used.
-func (p *pool) take(ctx context.Context, now, minLastRead time.Time, policy idlePolicy) (*conn, error) {
+func (p *pool) take(ctx context.Context, now, minLastRead time.Time, policy idlePolicy, allowed func() bool) (*conn, error) {
 	p.mu.Lock()
 	if minLastRead.After(p.minLastRead) {
 		p.minLastRead = minLastRead
@@ -55,20 +52,15 @@
 		p.mu.Unlock()
 		return p.connect(ctx)
 	}
-	w := make(chan grant, 1)
+	if p.closed {
+		p.mu.Unlock()
+		return nil, errWithheld
+	}
+	w := &waiter{granted: make(chan grant, 1), allowed: allowed}
 	p.waiters = append(p.waiters, w)
 	p.admitWaiters(now)
 	p.mu.Unlock()
-	select {
-	case g := <-w:
-		if g.conn != nil {
-			return g.conn, nil
-		}
-		return p.connect(ctx)
-	case <-ctx.Done():
-		p.cancelWait(w)
-		return nil, context.Cause(ctx)
-	}
+	return p.wait(ctx, w)
 }
 
 // takeIdle returns the idle connection put back last that the policy allows, or nil if there is none.
@@ -122,7 +114,7 @@
 		return
 	}
 	if w := p.popWaiter(); w != nil {
-		w <- grant{c}
+		w.granted <- grant{conn: c}
 		return
 	}
 	p.idle = append(p.idle, c)
@@ -171,35 +163,6 @@
 	p.shrunkAt = now
 }
 
-// popWaiter removes and returns the first waiter, or returns nil.
-func (p *pool) popWaiter() chan grant {
-	if len(p.waiters) == 0 {
-		return nil
-	}
-	w := p.waiters[0]
-	p.waiters = p.waiters[1:]
-	return w
-}
-
-// cancelWait removes a waiter from the queue, or passes on what it has been granted in the meantime.
-func (p *pool) cancelWait(w chan grant) {
-	p.mu.Lock()
-	for i, x := range p.waiters {
-		if x == w {
-			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
-			p.mu.Unlock()
-			return
-		}
-	}
-	p.mu.Unlock()
-	g := <-w
-	if g.conn == nil {
-		p.releaseSlot(true)
-		return
-	}
-	p.put(g.conn, g.conn.lastRead)
-}
-
 // answeredSince reports whether another connection was answered on, or newly kept as idle, after the time.
 func (p *pool) answeredSince(t time.Time) bool {
 	p.mu.Lock()
@@ -262,6 +225,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.turnBackWaiters(func(*waiter) bool { return true })
 	for _, c := range p.idle {
 		_ = c.Close()
 		p.open--
--- a/dialer/upkeep.go
+++ b/dialer/upkeep.go
@@ -43,7 +43,7 @@
 func (d *Dialer) Warm(ctx context.Context, a netip.AddrPort) {
 	p := d.pool(a)
 	start := d.now()
-	c, err := p.take(ctx, start, time.Time{}, newOnly)
+	c, err := p.take(ctx, start, time.Time{}, newOnly, nil)
 	if err != nil || !p.survives(ctx, c, d.now().Sub(start)) {
 		return
 	}
--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -35,7 +35,7 @@
 // hedge sends another attempt for a slow shard. While the Hold hook says so, it only probes the same replica on a new
 // connection, so that a request that crashes searchers never reaches a second replica. Otherwise the first hedge goes to
 // an untried replica. Each later one is a probe on a new connection, because all open connections may be silent; it goes
-// to an untried replica, or to the first replica if all were tried. A denied hedge is asked for again as LateHedge and
+// to an untried replica, or to the first replica if all were tried and it may still be sent requests. A denied hedge is asked for again as LateHedge and
 // then as Probe, because the Spend hook may allow these where it denied Hedge.
 func (q *Query) hedge(now time.Time, shard int32, out []Action) []Action {
 	s := &q.shards[shard]
@@ -48,7 +48,7 @@
 	}
 	searcher, ok := q.hooks.Pick(now, shard, s.searchers[:s.attempts])
 	if !ok && s.hedges > 0 {
-		searcher, ok = s.searchers[0], true
+		searcher, ok = s.searchers[0], q.maySend(now, s.searchers[0])
 	}
 	purpose := Hedge
 	switch {
@@ -74,10 +74,16 @@
 // for at most plan.Probes shards, and only while it has lost no connection.
 func (q *Query) probe(now time.Time, shard int32, out []Action) []Action {
 	s := &q.shards[shard]
-	if len(q.lostSearchers) > 0 || q.probes >= q.plan.Probes || !q.payForProbe(now, shard) {
+	searcher := s.searchers[s.attempts-1]
+	if len(q.lostSearchers) > 0 || q.probes >= q.plan.Probes || !q.maySend(now, searcher) || !q.payForProbe(now, shard) {
 		return out
 	}
 	q.probes++
 	s.hedges++
-	return q.send(now, shard, s.searchers[s.attempts-1], Probe, out)
+	return q.send(now, shard, searcher, Probe, out)
+}
+
+// maySend reports whether a searcher that was tried before may be sent another attempt.
+func (q *Query) maySend(now time.Time, searcher int32) bool {
+	return q.hooks.MaySend == nil || q.hooks.MaySend(now, searcher)
 }
--- a/gatherer/plan.go
+++ b/gatherer/plan.go
@@ -37,6 +37,8 @@
 type Hooks struct {
 	// Pick chooses a searcher of the shard that is not among those already tried; ok is false if there is none.
 	Pick func(now time.Time, shard int32, tried []int32) (searcher int32, ok bool)
+	// MaySend reports whether a searcher that was tried before may be sent another attempt now; nil allows it.
+	MaySend func(now time.Time, searcher int32) bool
 	// Spend takes an extra attempt from its budget and reports whether the budget allows it.
 	Spend func(now time.Time, shard int32, p Purpose) bool
 	// HedgeAfter returns how long an attempt of the shard may stay unanswered before it is hedged.
--- a/gatherer/query_test.go
+++ b/gatherer/query_test.go
@@ -33,6 +33,7 @@
 	nonLossEvents         bool // a fault other than a loss, or an altered answer, was handled
 	hold                  func(bool) bool
 	matches               func(want, got Claim) bool
+	maySend               func(now time.Time, searcher int32) bool
 	shardsWithoutSearcher []int32
 }
 
@@ -62,7 +63,7 @@
 			return b.tokens >= 0
 		},
 		HedgeAfter: func(int32) time.Duration { return 10 * time.Millisecond },
-		Hold:       b.hold, Matches: b.matches,
+		Hold:       b.hold, Matches: b.matches, MaySend: b.maySend,
 	})
 	b.handle(Event{Kind: EventStart})
 	return b
@@ -345,3 +346,23 @@
 	}
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*shards), "ns/event")
 }
+
+// Guards against attempts that go back unasked to a searcher which has begun to leave since it was picked.
+func TestNoHedgeOrProbeGoesToASearcherThatMayNotBeSentRequests(t *testing.T) {
+	for _, hold := range []func(bool) bool{HoldUntilCleared, func(bool) bool { return false }} {
+		for _, leaves := range []bool{false, true} {
+			b := newTestBench(1, 10, func(b *testBench, _ *Plan) {
+				b.hold = hold
+				b.maySend = func(time.Time, int32) bool { return !leaves }
+			})
+			b.shardsWithoutSearcher = []int32{0}
+			b.q.shards[0].hedges = 1 // the first hedge has found no other searcher
+			for range 5 {
+				b.wait(15 * time.Millisecond)
+			}
+			if again := len(b.sent) > 1; again == leaves {
+				t.Errorf("searcher leaves: %v, but its %d attempts say the opposite", leaves, len(b.sent))
+			}
+		}
+	}
+}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -52,27 +52,36 @@
 }
 
 // Join returns the state of the named searcher, which belongs to the service and has run since startedAt.
-// An earlier state at the same address is discarded if it has another name (another searcher) or another start time
-// (another incarnation). A state that Searcher created has no name and the zero start time until Join sets them, so it
+// An earlier state at the same address is discarded if it has another name (another searcher), another start time
+// (another incarnation) or another service; no request that was assigned by it is sent any more, see MaySend. A state that Searcher created has no name and the zero start time until Join sets them, so it
 // is discarded too unless startedAt is zero.
 func (o *Observer) Join(a netip.AddrPort, name modeler.SearcherName, startedAt time.Time, service *Service) *Searcher {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.searchers[a]
-	if s == nil || (s.name != "" && s.name != name) || !s.startedAt.Equal(startedAt) {
+	if s == nil || !s.isIncarnation(name, startedAt, service) {
+		if s != nil {
+			s.replace()
+		}
 		s = &Searcher{latency: float64(InitialLatency), generation: &o.generation}
 		if o.expectPauses {
 			s.latency = service.TypicalLatency()
 		}
 		o.searchers[a] = s
 	}
-	s.name, s.startedAt = name, startedAt
+	s.name, s.startedAt, s.joined = name, startedAt, service
 	if o.expectPauses {
 		s.setService(service)
 	}
 	return s
 }
 
+// isIncarnation reports whether the state is that of the named searcher, which belongs to the service and has run since
+// startedAt. Only Join writes the fields that it compares, and it holds the observer's lock.
+func (s *Searcher) isIncarnation(name modeler.SearcherName, startedAt time.Time, service *Service) bool {
+	return (s.name == "" || s.name == name) && s.startedAt.Equal(startedAt) && (s.joined == nil || s.joined == service)
+}
+
 // Service returns the state of the service, and creates it if needed.
 func (o *Observer) Service(n modeler.ServiceName) *Service {
 	o.mu.Lock()
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -21,6 +21,8 @@
 	ejections      int // since the last answer
 	drainingUntil  time.Time
 	leaving        bool      // as the searcher itself said
+	usableUntil    time.Time // see SetUsableUntil
+	replaced       bool      // another searcher or incarnation has the address
 	backoffUntil   time.Time // until when the searcher asked for no requests
 	penaltyStart   time.Time // the cost is raised from this time on for SlowStart
 	snapshotsKnown bool      // the searcher has reported the snapshots of some index
@@ -28,7 +30,8 @@
 	generation     *atomic.Uint64 // of the Observer
 	name           modeler.SearcherName
 	startedAt      time.Time
-	service        *Service  // nil without WithPauses and before Join
+	joined         *Service  // that the searcher belongs to; nil before Join
+	service        *Service  // whose typical latency is expected; nil without WithPauses and before Join
 	waitingSince   time.Time // last answer, or the start of an attempt while no other was under way
 	slowAnswers    int       // in a row
 	lastSlow       time.Time
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -176,6 +176,7 @@
 	searcher.Health.Begin(time.Now())
 	reply := o.dialer.Do(ctx, dialer.Call{
 		Address: searcher.Address, Path: "/v1/order", Request: id, Attempt: attempt, Deadline: s.Deadline, Body: s.Body, ProvenOnly: true,
+		Allowed: func() bool { return searcher.Health.MaySend(time.Now()) },
 	})
 	// Orders, even answered ones, do not change the searcher's latency and failures.
 	searcher.Health.Ended()
--- a/planner/pick.go
+++ b/planner/pick.go
@@ -84,17 +84,13 @@
 	if slices.Contains(tried, r) || p.View.Searchers[r].Domain == avoid {
 		return false
 	}
-	return !p.hasLeft(now, r) && p.View.Searchers[r].Health.AcceptsRequest(now, p.Reserve) && p.mayHold(r)
+	return p.View.Searchers[r].Health.AcceptsRequest(now, p.Reserve) && p.mayHold(r)
 }
 
 // isAvailable reports whether a searcher neither drains nor has left, and is not known to lack the snapshot.
 func (p *Picker) isAvailable(now time.Time, r int32) bool {
-	return !p.hasLeft(now, r) && !p.View.Searchers[r].Health.Draining(now) && p.mayHold(r)
-}
-
-func (p *Picker) hasLeft(now time.Time, r int32) bool {
-	until := p.View.Searchers[r].UsableUntil
-	return !until.IsZero() && !now.Before(until)
+	health := p.View.Searchers[r].Health
+	return !health.HasLeft(now) && !health.Draining(now) && p.mayHold(r)
 }
 
 // mayHold reports whether a searcher holds the snapshot or may hold it.
@@ -112,7 +108,7 @@
 	out := make([]int32, 0, len(candidates))
 	for _, r := range candidates {
 		s := &p.View.Searchers[r]
-		if s.UsableUntil.IsZero() && !s.Health.Stalled(now, p.StallLimit) {
+		if s.Health.Registered() && !s.Health.Stalled(now, p.StallLimit) {
 			out = append(out, r)
 		}
 	}
--- a/planner/registration.go
+++ b/planner/registration.go
@@ -36,8 +36,8 @@
 	return s
 }
 
-// applyRegistrations sets UsableUntil of the registered searchers, and sets in their Health until when a searcher that
-// has just started is slow. It skips a registration whose address is unknown or belongs to another searcher.
+// applyRegistrations sets in the Health of the registered searchers until when one that leaves may be sent requests, and
+// until when one that has just started is slow. It skips a registration whose address is unknown or belongs to another searcher.
 func (v *View) applyRegistrations(registered []modeler.Registration) {
 	for _, r := range registered {
 		n, ok := v.SearcherAt(r.Searcher.Address)
@@ -45,7 +45,7 @@
 			continue
 		}
 		s := &v.Searchers[n]
-		s.UsableUntil = r.UsableUntil
+		s.Health.SetUsableUntil(r.UsableUntil)
 		if r.WarmUp > 0 {
 			s.Health.SetSlowUntil(r.ReceivedAt.Add(r.WarmUp))
 		}
--- a/planner/route_test.go
+++ b/planner/route_test.go
@@ -68,15 +68,15 @@
 	}{
 		{"nearest searcher", func(*View) {}, map[modeler.SearcherName]bool{"s-d-0": true}},
 		{"stalled searcher is avoided", func(v *View) { v.Searchers[0].Health.Begin(epoch.Add(-stallLimit - 1)) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
-		{"leaving searcher is avoided", func(v *View) { v.Searchers[0].UsableUntil = epoch.Add(time.Second) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
+		{"leaving searcher is avoided", func(v *View) { v.Searchers[0].Health.SetUsableUntil(epoch.Add(time.Second)) }, map[modeler.SearcherName]bool{"s-d-1": true, "s-d-2": true}},
 		{"leaving searcher is used if all others drain", func(v *View) {
-			v.Searchers[0].UsableUntil = epoch.Add(time.Second)
+			v.Searchers[0].Health.SetUsableUntil(epoch.Add(time.Second))
 			v.Searchers[1].Health.MarkDraining(epoch)
 			v.Searchers[2].Health.MarkDraining(epoch)
 		}, map[modeler.SearcherName]bool{"s-d-0": true}},
 		{"searchers that have left are not used", func(v *View) {
 			for i := range v.Searchers {
-				v.Searchers[i].UsableUntil = epoch
+				v.Searchers[i].Health.SetUsableUntil(epoch)
 			}
 		}, nil},
 	}
--- a/planner/view.go
+++ b/planner/view.go
@@ -11,16 +11,13 @@
 	"github.com/pistachiogap/pistachiogap/observer"
 )
 
-// Searcher is one searcher of the view. A searcher that is no longer registered as ready is leaving, and has left from
-// UsableUntil on. Independently, a searcher counts as draining for a while after it was reported to drain; see
-// Health.Draining.
+// Searcher is one searcher of the view. Whether it leaves or drains is part of its Health, which later views change too.
 type Searcher struct {
 	modeler.Searcher
-	Service     int32         // position in View.Services
-	Domain      int32         // number of the failure domain within the view
-	RoundTrip   time.Duration // network delay from this VM to the searcher and back
-	Health      *observer.Searcher
-	UsableUntil time.Time // until when a leaving searcher may be sent requests; zero if it is not leaving
+	Service   int32         // position in View.Services
+	Domain    int32         // number of the failure domain within the view
+	RoundTrip time.Duration // network delay from this VM to the searcher and back
+	Health    *observer.Searcher
 }
 
 // Service is one service of the view.
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -50,6 +50,7 @@
 // Limits on the periodic work of a VM.
 const (
 	UpkeepPeriod       = time.Second
+	TurnBackPeriod     = 100 * time.Millisecond // of requests that wait for a connection
 	PingTimeout        = 400 * time.Millisecond
 	MaxConcurrentPings = 32
 	TicketSweepRounds  = 60 // the records of old tickets are removed once per this many upkeep periods
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -209,7 +209,7 @@
 		if len(results) == MaxConcurrentWarms {
 			break
 		}
-		if !s.UsableUntil.IsZero() || !s.Health.Connectable(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
+		if !s.Health.Connectable(time.Now()) || !v.isHolder(view, int32(n)) || !v.dialer.NeedsWarming(s.Address) {
 			continue
 		}
 		results = append(results, spawner.Go(ctx, func(ctx context.Context) error {
--- a/runner/run.go
+++ b/runner/run.go
@@ -55,7 +55,7 @@
 // only in its result channel.
 func (v *VM) startParts(ctx context.Context) (results []<-chan error, failures <-chan error) {
 	parts := []func(context.Context) error{
-		v.gossip.Run, v.runPulls, v.runSync, v.servePeers, v.serveOperators,
+		v.gossip.Run, v.runPulls, v.runSync, v.runTurnBack, v.servePeers, v.serveOperators,
 	}
 	if v.cfg.Routing != nil {
 		parts = append(parts, v.follower.Run, v.runRouteUpkeep, v.serveReady)
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -31,6 +31,21 @@
 	}
 }
 
+// runTurnBack turns back the requests that wait for connections to searchers that leave or have asked for no requests,
+// once every TurnBackPeriod.
+func (v *VM) runTurnBack(ctx context.Context) error {
+	ticker := time.NewTicker(TurnBackPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			v.dialer.TurnBackWaiters()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // pingAll pings the searchers that this VM may call, at most MaxConcurrentPings at a time, and drops the connections
 // to all other searchers.
 func (v *VM) pingAll(ctx context.Context) {
--- a/scatterer/attempt.go
+++ b/scatterer/attempt.go
@@ -43,7 +43,7 @@
 		Body:          r.req.Body,
 		ProvenOnly:    a.Purpose != gatherer.Primary,
 		NewConnection: a.Purpose == gatherer.Probe,
-		Allowed:       func() bool { return !health.BackingOff(r.s.now()) },
+		Allowed:       func() bool { return health.MaySend(r.s.now()) },
 		Linger:        r.req.View.Services[r.req.View.Searchers[a.Searcher].Service].Contract.SetUp.Duration,
 	}
 	if r.req.Forward != nil {
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -77,6 +77,7 @@
 	r.answeredShards = make([]bool, len(plan.Shards))
 	r.query = gatherer.NewQuery(plan, gatherer.Hooks{
 		Pick:       r.picker.Pick,
+		MaySend:    r.maySend,
 		Spend:      r.spend,
 		HedgeAfter: r.hedgeAfter,
 		Hold:       hold,
@@ -86,6 +87,11 @@
 	return r
 }
 
+// maySend reports whether the searcher may be sent requests now.
+func (r *run) maySend(now time.Time, searcher int32) bool {
+	return r.req.View.Searchers[searcher].Health.MaySend(now)
+}
+
 // connectionNeed returns whether a connection to the searcher is idle, must be opened, or must be opened although the
 // searcher is at its connection limit.
 func (r *run) connectionNeed(searcher int32) planner.ConnectionNeed {
