An entry with the address of another searcher no longer takes that searcher's place

What callers saw: a sound searcher got no request while another writer's entry named its address; with two searchers of a service half of its capacity was gone, with one all of it. Cause: a view had one searcher an address. Of two entries of one service the one that started later won, or the first key; of two services the last. All requests to the address named that searcher, and the process there refused them with 421. The observer had one state an address, too: each view that was built discarded what was known of both searchers. Change: the view has all searchers that are registered, and states are kept by address and name. The process at the address answers by its name; the other name is refused with 421 and ejected. Connections of an address are shared by the largest share of its searchers. Registrations also reach the states of searchers whose service the view lacks, so that requests under way there learn that the searcher leaves.

--- a/observer/backoff_test.go
+++ b/observer/backoff_test.go
@@ -14,7 +14,7 @@
 // the times for which it asked for none, and after that it must get them again.
 func TestBackoffHoldsUntilItsEnd(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		s := NewObserver().Searcher(netip.MustParseAddrPort("10.0.0.1:80"))
+		s := NewObserver().At(netip.MustParseAddrPort("10.0.0.1:80"))[0]
 		now, until := backoffStart, backoffStart
 		for range rapid.IntRange(1, 50).Draw(t, "events") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
@@ -46,7 +46,7 @@
 }
 
 func TestRequestsReturnGraduallyAfterABackoff(t *testing.T) {
-	s := NewObserver().Searcher(netip.MustParseAddrPort("10.0.0.1:80"))
+	s := NewObserver().At(netip.MustParseAddrPort("10.0.0.1:80"))[0]
 	usual := s.Cost(backoffStart, 1, 0)
 	s.BackOff(backoffStart, time.Second)
 	end := backoffStart.Add(time.Second)
--- a/observer/limit_test.go
+++ b/observer/limit_test.go
@@ -14,7 +14,7 @@
 }
 
 func TestLimitEndsOnlyByALaterAttempt(t *testing.T) {
-	s := NewObserver().Searcher(netip.MustParseAddrPort("10.0.0.1:80"))
+	s := NewObserver().At(netip.MustParseAddrPort("10.0.0.1:80"))[0]
 	start := time.Unix(1_800_000_000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	stated := modeler.RateLimit{State: modeler.Stated, PerSecond: 10}
@@ -43,7 +43,7 @@
 }
 
 func TestChangedLimitAppliesAtOnce(t *testing.T) {
-	s := NewObserver().Searcher(netip.MustParseAddrPort("10.0.0.1:80"))
+	s := NewObserver().At(netip.MustParseAddrPort("10.0.0.1:80"))[0]
 	now := time.Unix(1_800_000_000, 0)
 	s.StateLimit(now, now, modeler.RateLimit{State: modeler.Stated, PerSecond: 1000}, tenth, 0)
 	now = now.Add(time.Minute)
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,7 +14,7 @@
 // Observer holds what one VM knows of all searchers and services.
 type Observer struct {
 	mu           sync.Mutex
-	searchers    map[netip.AddrPort]*Searcher
+	searchers    map[netip.AddrPort][]*Searcher
 	services     map[modeler.ServiceName]*Service
 	generation   atomic.Uint64
 	expectPauses bool
@@ -29,45 +30,38 @@
 
 // NewObserver makes an observer without searchers and services.
 func NewObserver(options ...Option) *Observer {
-	o := &Observer{searchers: map[netip.AddrPort]*Searcher{}, services: map[modeler.ServiceName]*Service{}}
+	o := &Observer{searchers: map[netip.AddrPort][]*Searcher{}, services: map[modeler.ServiceName]*Service{}}
 	for _, set := range options {
 		set(o)
 	}
 	return o
 }
 
-// Searcher returns the state of the searcher at the address, and creates it if needed.
-func (o *Observer) Searcher(a netip.AddrPort) *Searcher {
+// At returns the states of the searchers at the address, of which there are several if entries of others name the same
+// address. It creates one without a name if there is none.
+func (o *Observer) At(a netip.AddrPort) []*Searcher {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.searchers[a]
-	if s == nil {
-		s = &Searcher{
-			latency:    float64(InitialLatency),
-			generation: &o.generation,
-		}
-		o.searchers[a] = s
+	if len(o.searchers[a]) == 0 {
+		o.searchers[a] = []*Searcher{o.newSearcher(float64(InitialLatency))}
 	}
-	return s
+	return slices.Clone(o.searchers[a])
+}
+
+func (o *Observer) newSearcher(latency float64) *Searcher {
+	return &Searcher{latency: latency, generation: &o.generation}
 }
 
 // Join returns the state of the named searcher, which belongs to the service and has run since startedAt.
-// An earlier state at the same address is discarded if it has another name (another searcher), another start time
-// (another incarnation) or another service; no request that was assigned by it is sent any more, see MaySend. A state that Searcher created has no name and the zero start time until Join sets them, so it
-// is discarded too unless startedAt is zero.
+// An earlier state of that name at the address is discarded if it has another start time (another incarnation) or another
+// service; no request that was assigned by it is sent any more, see MaySend. A state that At created has no name and the
+// zero start time until Join sets them, so it is discarded too unless startedAt is zero.
 func (o *Observer) Join(a netip.AddrPort, name modeler.SearcherName, startedAt time.Time, service *Service) *Searcher {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.searchers[a]
-	if s == nil || !s.isIncarnation(name, startedAt, service) {
-		if s != nil {
-			s.replace()
-		}
-		s = &Searcher{latency: float64(InitialLatency), generation: &o.generation}
-		if o.expectPauses {
-			s.latency = service.TypicalLatency()
-		}
-		o.searchers[a] = s
+	s := o.find(a, name)
+	if s == nil || !s.isIncarnation(startedAt, service) {
+		s = o.replace(a, s, service)
 	}
 	s.name, s.startedAt, s.joined = name, startedAt, service
 	if o.expectPauses {
@@ -76,10 +70,55 @@
 	return s
 }
 
-// isIncarnation reports whether the state is that of the named searcher, which belongs to the service and has run since
-// startedAt. Only Join writes the fields that it compares, and it holds the observer's lock.
-func (s *Searcher) isIncarnation(name modeler.SearcherName, startedAt time.Time, service *Service) bool {
-	return (s.name == "" || s.name == name) && s.startedAt.Equal(startedAt) && (s.joined == nil || s.joined == service)
+// find returns the state of that name at the address, or one without a name, or nil.
+func (o *Observer) find(a netip.AddrPort, name modeler.SearcherName) *Searcher {
+	for _, s := range o.searchers[a] {
+		if s.name == name || s.name == "" {
+			return s
+		}
+	}
+	return nil
+}
+
+// replace returns a new state in place of old, or beside the others at the address if old is nil.
+func (o *Observer) replace(a netip.AddrPort, old *Searcher, service *Service) *Searcher {
+	s := o.newSearcher(float64(InitialLatency))
+	if o.expectPauses {
+		s.latency = service.TypicalLatency()
+	}
+	if old == nil {
+		o.searchers[a] = append(o.searchers[a], s)
+		return s
+	}
+	old.replace()
+	states := o.searchers[a]
+	states[slices.Index(states, old)] = s
+	return s
+}
+
+// isIncarnation reports whether the state is that of a searcher which belongs to the service and has run since startedAt.
+// Only Join writes the fields that it compares, and it holds the observer's lock.
+func (s *Searcher) isIncarnation(startedAt time.Time, service *Service) bool {
+	return s.startedAt.Equal(startedAt) && (s.joined == nil || s.joined == service)
+}
+
+// Register applies a registration to the state of its searcher, also if the view lacks the searcher's service: until when
+// a searcher that leaves may be sent requests, and until when one that has just started is slow.
+func (o *Observer) Register(r modeler.Registration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	s := o.find(r.Searcher.Address, r.Searcher.Name)
+	if s == nil {
+		return
+	}
+	if s.joined != nil && s.joined != o.services[r.Service] {
+		s.replace() // the searcher belongs to another service now
+		return
+	}
+	s.SetUsableUntil(r.UsableUntil)
+	if r.WarmUp > 0 {
+		s.SetSlowUntil(r.ReceivedAt.Add(r.WarmUp))
+	}
 }
 
 // Service returns the state of the service, and creates it if needed.
@@ -94,11 +133,27 @@
 	return s
 }
 
-// Keep discards the state of searchers and services that are not in the maps, which are those of the current view.
-func Keep[T any](o *Observer, searchers map[netip.AddrPort]T, services map[modeler.ServiceName]T) {
+// Keep discards the state of searchers for which the function returns false, and of services that are not in the map. A
+// discarded searcher whose address others have kept has been replaced by them.
+func Keep[T any](o *Observer, keep func(a netip.AddrPort, name modeler.SearcherName) bool, services map[modeler.ServiceName]T) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	maps.DeleteFunc(o.searchers, func(a netip.AddrPort, _ *Searcher) bool { _, ok := searchers[a]; return !ok })
+	for a, states := range o.searchers {
+		kept := slices.DeleteFunc(slices.Clone(states), func(s *Searcher) bool { return !keep(a, s.name) })
+		if len(kept) == len(states) {
+			continue
+		}
+		if len(kept) == 0 {
+			delete(o.searchers, a)
+			continue
+		}
+		for _, s := range states {
+			if !slices.Contains(kept, s) {
+				s.replace()
+			}
+		}
+		o.searchers[a] = kept
+	}
 	maps.DeleteFunc(o.services, func(n modeler.ServiceName, _ *Service) bool { _, ok := services[n]; return !ok })
 }
 
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -15,7 +15,7 @@
 )
 
 func TestSearcherEjection(t *testing.T) {
-	s := NewObserver().Searcher(addr)
+	s := NewObserver().At(addr)[0]
 	fail := func(unreachable bool) {
 		s.Begin(epoch)
 		s.Failed(epoch, unreachable)
@@ -36,7 +36,7 @@
 }
 
 func TestSearcherDraining(t *testing.T) {
-	s := NewObserver().Searcher(addr)
+	s := NewObserver().At(addr)[0]
 	if !s.MarkDraining(epoch) || s.MarkDraining(epoch) {
 		t.Error("MarkDraining must return true for the first report and false for the second")
 	}
@@ -55,7 +55,7 @@
 
 func TestSearcherCost(t *testing.T) {
 	o := NewObserver()
-	fast, slow := o.Searcher(addr), o.Searcher(netip.MustParseAddrPort("10.0.0.2:7000"))
+	fast, slow := o.At(addr)[0], o.At(netip.MustParseAddrPort("10.0.0.2:7000"))[0]
 	for range 10 {
 		fast.Begin(epoch)
 		fast.Answered(epoch, 4*time.Millisecond)
@@ -75,7 +75,7 @@
 	if fast.Cost(epoch, 2, 0) != 2*before {
 		t.Error("attempts in all slots must double the cost")
 	}
-	cold := o.Searcher(netip.MustParseAddrPort("10.0.0.3:7000"))
+	cold := o.At(netip.MustParseAddrPort("10.0.0.3:7000"))[0]
 	cold.SetSlowUntil(epoch.Add(SlowStart))
 	if cold.Cost(epoch, 2, 0) != ColdPenalty*float64(InitialLatency) {
 		t.Error("cost of a returning searcher must be ColdPenalty times InitialLatency")
@@ -131,12 +131,12 @@
 	runtime.ReadMemStats(&before)
 	o := NewObserver()
 	for i := range n {
-		s := o.Searcher(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000))
+		s := o.At(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 7000))[0]
 		s.SetSnapshots("x", []modeler.SnapshotID{1, 2})
 	}
 	runtime.GC()
 	runtime.ReadMemStats(&after)
-	s := o.Searcher(addr)
+	s := o.At(addr)[0]
 	for b.Loop() {
 		s.Begin(epoch)
 		s.Cost(epoch, 2, 0)
--- a/planner/registration.go
+++ b/planner/registration.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -17,38 +18,37 @@
 	return m
 }
 
-// addRegistered returns the service with its registered searchers added. If two of them have the same address, the one
-// that started later is kept. The contract's slots are those of the last searcher added, at least 1.
+// addRegistered returns the service with its registered searchers added, also those that have the same address: only the
+// one that answers by its name is sent requests for long. The contract's slots are those of the last searcher added, at
+// least 1.
 func addRegistered(s modeler.Service, registered map[modeler.ServiceName][]modeler.Registration) modeler.Service {
-	positions := map[string]int{} // position in s.Searchers, by address
 	for _, r := range registered[s.Name] {
-		address := r.Searcher.Address.String()
-		if i, ok := positions[address]; ok {
-			if r.Searcher.StartedAt.After(s.Searchers[i].StartedAt) {
-				s.Searchers[i] = r.Searcher
-			}
-			continue
-		}
-		positions[address] = len(s.Searchers)
 		s.Searchers = append(s.Searchers, r.Searcher)
 		s.Contract.Slots = max(1, r.Slots)
 	}
 	return s
 }
 
-// applyRegistrations sets in the Health of the registered searchers until when one that leaves may be sent requests, and
-// until when one that has just started is slow. It skips a registration whose address is unknown or belongs to another searcher.
-func (v *View) applyRegistrations(registered []modeler.Registration) {
-	for _, r := range registered {
-		n, ok := v.SearcherAt(r.Searcher.Address)
-		if !ok || v.Searchers[n].Name != r.Searcher.Name {
-			continue
+// knows returns a function that reports whether the view has a searcher, or a registration names it whose service the view
+// lacks. A searcher without a name is known by its address.
+func (v *View) knows(values []modeler.Configuration) func(a netip.AddrPort, name modeler.SearcherName) bool {
+	type key struct {
+		address netip.AddrPort
+		name    modeler.SearcherName
+	}
+	others := map[key]bool{}
+	for _, c := range values {
+		for _, r := range c.Registrations {
+			if _, ok := v.services[r.Service]; !ok {
+				others[key{r.Searcher.Address, r.Searcher.Name}] = true
+			}
 		}
-		s := &v.Searchers[n]
-		s.Health.SetUsableUntil(r.UsableUntil)
-		if r.WarmUp > 0 {
-			s.Health.SetSlowUntil(r.ReceivedAt.Add(r.WarmUp))
+	}
+	return func(a netip.AddrPort, name modeler.SearcherName) bool {
+		if name == "" {
+			return len(v.addresses[a]) > 0
 		}
+		return v.Find(a, name) != nil || others[key{a, name}]
 	}
 }
 
--- a/planner/view.go
+++ b/planner/view.go
@@ -64,7 +64,7 @@
 	domain    modeler.FailureDomain // of this VM
 	indexes   map[modeler.IndexName]*Index
 	services  map[modeler.ServiceName]int32
-	addresses map[netip.AddrPort]int32
+	addresses map[netip.AddrPort][]int32 // positions of the searchers at each address; several if entries of others name it
 }
 
 // NewView joins the values of all keys of the configuration into one view, as seen from a VM in the failure domain.
@@ -79,7 +79,7 @@
 		domain:    domain,
 		indexes:   map[modeler.IndexName]*Index{},
 		services:  make(map[modeler.ServiceName]int32, services),
-		addresses: make(map[netip.AddrPort]int32, searchers),
+		addresses: make(map[netip.AddrPort][]int32, searchers),
 	}
 	domains := map[modeler.FailureDomain]int32{}
 	delays := delaysFrom(domain, links)
@@ -88,7 +88,6 @@
 		v.Teams = append(v.Teams, c.Teams...)
 		for _, s := range c.Services {
 			v.addService(addRegistered(s, registered), domains, delays, o)
-			v.applyRegistrations(registered[s.Name])
 		}
 	}
 	v.addRoutes(values)
@@ -98,7 +97,12 @@
 			v.addIndex(x, urgent[x.Name])
 		}
 	}
-	observer.Keep(o, v.addresses, v.services)
+	for _, c := range values {
+		for _, r := range c.Registrations {
+			o.Register(r)
+		}
+	}
+	observer.Keep(o, v.knows(values), v.services)
 	return v
 }
 
@@ -131,10 +135,18 @@
 	return i, ok
 }
 
-// SearcherAt returns the position in v.Searchers of the searcher at the address.
-func (v *View) SearcherAt(a netip.AddrPort) (int32, bool) {
-	n, ok := v.addresses[a]
-	return n, ok
+// SearchersAt returns the positions in v.Searchers of the searchers at the address: more than one if entries of others
+// name the address of a searcher. A request that reaches the wrong one is refused by it.
+func (v *View) SearchersAt(a netip.AddrPort) []int32 { return v.addresses[a] }
+
+// Find returns the searcher of that name at the address, or nil if the view has none.
+func (v *View) Find(a netip.AddrPort, name modeler.SearcherName) *Searcher {
+	for _, n := range v.addresses[a] {
+		if v.Searchers[n].Name == name {
+			return &v.Searchers[n]
+		}
+	}
+	return nil
 }
 
 // addService adds a service and its searchers to the view. If several values have a service of the same name, the first
@@ -154,7 +166,7 @@
 			d = int32(len(domains))
 			domains[r.FailureDomain] = d
 		}
-		v.addresses[r.Address] = int32(len(v.Searchers))
+		v.addresses[r.Address] = append(v.addresses[r.Address], int32(len(v.Searchers)))
 		out.Searchers = append(out.Searchers, int32(len(v.Searchers)))
 		v.Searchers = append(v.Searchers, Searcher{
 			Searcher: r, Service: n, Domain: d, RoundTrip: 2 * delays[r.FailureDomain],
--- a/runner/exclusions.go
+++ b/runner/exclusions.go
@@ -39,7 +39,7 @@
 	defer l.mu.Unlock()
 	ended := map[netip.AddrPort]exclusion{}
 	for a, x := range l.byAddress {
-		if n, ok := view.SearcherAt(a); ok && (view.Searchers[n].Health.Draining(now) || view.Searchers[n].Health.BackingOff(now)) {
+		if s := view.Find(a, x.searcher); s != nil && (s.Health.Draining(now) || s.Health.BackingOff(now)) {
 			continue
 		}
 		ended[a] = x
@@ -62,9 +62,7 @@
 		return
 	}
 	for a, x := range v.exclusions.takeEnded(now, view) {
-		n, registered := view.SearcherAt(a)
-		registered = registered && view.Searchers[n].Name == x.searcher
 		klog.InfoS("searcher: no longer excluded", "searcher", string(x.searcher), "address", a.String(), "reason", x.reason,
-			"after-ms", now.Sub(x.since).Milliseconds(), "registered", registered)
+			"after-ms", now.Sub(x.since).Milliseconds(), "registered", view.Find(a, x.searcher) != nil)
 	}
 }
--- a/runner/news.go
+++ b/runner/news.go
@@ -29,14 +29,25 @@
 		v.storeLosses.record(n.Address, now)
 	case gossiper.NewsSlow:
 		v.counter("searchers.told-slow").Inc(1)
-		v.observer.Searcher(n.Address).ReportSlow(now, n.Until, rand.Float64())
+		for _, s := range v.observer.At(n.Address) {
+			s.ReportSlow(now, n.Until, rand.Float64())
+		}
 	case gossiper.NewsDraining:
-		if v.observer.Searcher(n.Address).MarkDraining(now) {
+		if v.markDraining(now, n.Address) {
 			v.recorder.Record(recorder.Event{Kind: recorder.SearcherDraining, Detail: "told by a peer: " + n.Address.String()})
 		}
 	}
 }
 
+// markDraining records that the searcher at the address drains, and reports whether this is new.
+func (v *VM) markDraining(now time.Time, a netip.AddrPort) bool {
+	isNew := false
+	for _, s := range v.observer.At(a) {
+		isNew = s.MarkDraining(now) || isNew
+	}
+	return isNew
+}
+
 // announceQuarantine announces a request that is quarantined because it seems to crash searchers. Package scatterer
 // infers crashes from connections that were lost before an answer came. For a request on a route it also checks that
 // the searchers now refuse connections. For a search that lost several searchers it asks control searchers.
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -233,9 +233,9 @@
 	}
 	v.store.Prune(time.Now().Add(-DeletedKeyRetention))
 	v.dialer.Trim(keep)
-	for i := range view.Searchers {
-		if !v.isHolder(view, int32(i)) {
-			v.dialer.TrimIdle(view.Searchers[i].Address, NonHolderIdleTimeout)
+	for a := range keep {
+		if !slices.ContainsFunc(view.SearchersAt(a), func(n int32) bool { return v.isHolder(view, n) }) {
+			v.dialer.TrimIdle(a, NonHolderIdleTimeout)
 		}
 	}
 	known := func(n modeler.ServiceName) bool {
--- a/runner/shares.go
+++ b/runner/shares.go
@@ -14,16 +14,16 @@
 // shareCache caches this VM's share of the connections of each searcher. It is reset when the view changes, and by the
 // next upkeep after the members or the start phase changed.
 type shareCache struct {
-	mu        sync.Mutex
-	byAddress map[netip.AddrPort]limiter.Share
-	peers     []peer
-	stale     bool
+	mu     sync.Mutex
+	byName map[searcherKey]limiter.Share
+	peers  []peer
+	stale  bool
 }
 
 func (c *shareCache) reset() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.byAddress, c.peers = nil, nil
+	c.byName, c.peers = nil, nil
 	c.stale = false
 }
 
@@ -42,17 +42,23 @@
 	return c.stale
 }
 
-// get returns the share of the searcher at an address, and computes it if it is not cached.
-func (c *shareCache) get(a netip.AddrPort, compute func() limiter.Share) limiter.Share {
+// searcherKey names a searcher at an address, which entries of others may name too.
+type searcherKey struct {
+	address netip.AddrPort
+	name    modeler.SearcherName
+}
+
+// get returns the share of a searcher, and computes it if it is not cached.
+func (c *shareCache) get(k searcherKey, compute func() limiter.Share) limiter.Share {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	s, ok := c.byAddress[a]
+	s, ok := c.byName[k]
 	if !ok {
-		if c.byAddress == nil {
-			c.byAddress = map[netip.AddrPort]limiter.Share{}
+		if c.byName == nil {
+			c.byName = map[searcherKey]limiter.Share{}
 		}
 		s = compute()
-		c.byAddress[a] = s
+		c.byName[k] = s
 	}
 	return s
 }
@@ -61,7 +67,7 @@
 // not known count as far. ShareOfThin is tried first, because its result is zero unless the service is thin.
 func (v *VM) connectionShare(view *planner.View, n int32) limiter.Share {
 	s := &view.Searchers[n]
-	return v.shares.get(s.Address, func() limiter.Share {
+	return v.shares.get(searcherKey{s.Address, s.Name}, func() limiter.Share {
 		// get holds the lock of v.shares here.
 		if v.shares.peers == nil {
 			v.shares.peers = v.membership.Load().peerVMs(v.cfg.Routing.Regions)
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -119,23 +119,28 @@
 	}
 	now := time.Now()
 	for _, a := range l.Leaving {
-		if v.observer.Searcher(a).MarkDraining(now) {
+		if v.markDraining(now, a) {
 			v.announceDraining(a, "platform list")
 		}
 	}
 }
 
-// connectionBudget returns how many connections this VM may hold to the searcher at an address. It is 1 before the
-// first view is built, and 0 for an address that the view does not have.
+// connectionBudget returns how many connections this VM may hold to an address: the most that it may hold to one of the
+// searchers there. It is 1 before the first view is built, and 0 for an address that the view does not have.
 func (v *VM) connectionBudget(a netip.AddrPort) int {
 	view := v.view.Load()
 	if view == nil {
 		return 1
 	}
-	n, ok := view.SearcherAt(a)
-	if !ok {
-		return 0
+	most := 0
+	for _, n := range view.SearchersAt(a) {
+		most = max(most, v.searcherBudget(view, n))
 	}
+	return most
+}
+
+// searcherBudget returns how many connections this VM may hold to a searcher of the view.
+func (v *VM) searcherBudget(view *planner.View, n int32) int {
 	service := &view.Services[view.Searchers[n].Service]
 	holders := v.spreader.HolderCount(service.Bucket, v.fleetSize())
 	if holders == 0 {
