planner: the slots of a service are the lower median of what its searchers register

What callers would see: with an odd entry, for instance of slots, busy searchers of its service look as fast as idle ones, so that requests queue where they need not. Cause: the contract of the service had the slots of whichever entry came last. Change: the lower median of all entries, which one odd entry does not move while two others agree. Test: TestOddSlotsOfOneEntryLeaveTheServiceAsItIs, failed before for the last position.

--- a/planner/registration.go
+++ b/planner/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -19,12 +20,16 @@
 }
 
 // addRegistered returns the service with its registered searchers added, also those that have the same address: only the
-// one that answers by its name is sent requests for long. The contract's slots are those of the last searcher added, at
-// least 1.
+// one that answers by its name is sent requests for long. The contract's slots are the lower median of what they register.
 func addRegistered(s modeler.Service, registered map[modeler.ServiceName][]modeler.Registration) modeler.Service {
+	var slots []int
 	for _, r := range registered[s.Name] {
 		s.Searchers = append(s.Searchers, r.Searcher)
-		s.Contract.Slots = max(1, r.Slots)
+		slots = append(slots, r.Slots)
+	}
+	if len(slots) > 0 {
+		slices.Sort(slots)
+		s.Contract.Slots = max(1, slots[(len(slots)-1)/2])
 	}
 	return s
 }
