configurer: reasons of refusals are short

What operators would see: log lines and status pages as long as an odd value, up to a megabyte, each time it is refused. Cause: errors of decoders quote the value, and the reason was logged, recorded and kept as it came. Change: a reason has at most 300 bytes of valid UTF-8. Test: TestReasonsOfRefusalsAreShort, failed before for ignored and for refused values.

--- a/configurer/store.go
+++ b/configurer/store.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/binary"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -16,6 +17,9 @@
 // MaxValueBytes is the largest accepted size of one value.
 const MaxValueBytes = 1 << 20
 
+// maxReasonBytes bounds the reason of a refusal, which is logged and shown to operators.
+const maxReasonBytes = 300
+
 // Value is the text that the platform's configuration service, or the platform's store, has under a key at a revision.
 // An empty text deletes the key.
 type Value struct {
@@ -150,7 +154,7 @@
 		if v.Revision < e.refusedValue.Revision {
 			return nil, false
 		}
-		e.refusedValue, e.refusalReason = v, err.Error()
+		e.refusedValue, e.refusalReason = v, shorten(err.Error())
 		return &Refusal{v.Key, v.Revision, e.refusalReason}, false
 	}
 	e.holdRegistration(now, parsed, s.holdPeriod)
@@ -160,11 +164,19 @@
 		e.deletedAt = now
 	}
 	if parsed.Ignored != "" {
-		return &Refusal{v.Key, v.Revision, parsed.Ignored}, true
+		return &Refusal{v.Key, v.Revision, shorten(parsed.Ignored)}, true
 	}
 	return nil, true
 }
 
+// shorten returns the reason of a refusal without what exceeds maxReasonBytes: it may quote a long value.
+func shorten(reason string) string {
+	if len(reason) <= maxReasonBytes {
+		return reason
+	}
+	return strings.ToValidUTF8(reason[:maxReasonBytes], "") + "..."
+}
+
 // holdRegistration keeps a searcher in use for the hold period when the next value no longer registers it as ready.
 // A key registers at most one searcher. It also sets ReceivedAt of the next value's registration, and, if that is
 // leaving, UsableUntil.
--- a/configurer/store_test.go
+++ b/configurer/store_test.go
@@ -6,9 +6,12 @@
 	"os"
 	"runtime"
 	"slices"
+	"strings"
 	"testing"
 	"time"
+	"unicode/utf8"
 
+	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -185,3 +188,17 @@
 		})
 	}
 }
+
+// Guards against log lines as long as the value that they quote.
+func TestReasonsOfRefusalsAreShort(t *testing.T) {
+	long := strings.Repeat("\u00e9", 100_000)
+	for _, decode := range []func(string, []byte) (modeler.Configuration, error){
+		func(string, []byte) (modeler.Configuration, error) { return modeler.Configuration{Ignored: long}, nil },
+		func(string, []byte) (modeler.Configuration, error) { return modeler.Configuration{}, errors.New(long) },
+	} {
+		refused, _ := NewStore(WithDecode(decode)).Offer(time.Now(), 1, []Value{{"k", 1, []byte("x")}})
+		if len(refused) != 1 || len(refused[0].Reason) > 400 || !utf8.ValidString(refused[0].Reason) {
+			t.Errorf("the value is refused %d times, want once with a short reason of valid UTF-8", len(refused))
+		}
+	}
+}
