watcher: a page that is older than the first of its list is of another list

What callers would see: a VM that deletes its routes or searchers until the next list. Change: such a list fails as a whole and is read again.

--- a/observer/address_test.go
+++ b/observer/address_test.go
@@ -13,7 +13,9 @@
 	o := NewObserver()
 	addr := netip.MustParseAddrPort("10.0.0.1:80")
 	desk, board := o.Service("desk"), o.Service("board")
-	join := func() (a, b *Searcher) { return o.Join(addr, "a", backoffStart, desk), o.Join(addr, "b", backoffStart, board) }
+	join := func() (a, b *Searcher) {
+		return o.Join(addr, "a", backoffStart, desk), o.Join(addr, "b", backoffStart, board)
+	}
 	a, b := join()
 	a.MarkLeaving(backoffStart)
 	b.BackOff(backoffStart, time.Minute)
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -16,6 +16,9 @@
 // ErrHistoryLost means that the platform's store no longer has all changes after the revision of a watch.
 var ErrHistoryLost = errors.New("the store no longer has the changes after the requested revision")
 
+// errPageOfEarlierList reports a page that is older than the first page of its list.
+var errPageOfEarlierList = errors.New("the store answered with a page of an earlier list")
+
 // Page is one answer of the platform's store to List or Watch.
 type Page struct {
 	Values   []configurer.Value
@@ -122,6 +125,9 @@
 		if n == 0 {
 			firstRevision = p.Revision
 		}
+		if p.Revision < firstRevision {
+			return errPageOfEarlierList
+		}
 		all = append(all, p.Values...)
 		if !p.More || len(p.Values) == 0 {
 			break
