scatterer: all windows of a simulated fleet start with its play

Cause: the play has its own clock, but each VM's windows began at the real time at which the VM was made. Change: limiter.WithStart; the windows of all VMs start with the play.

--- a/limiter/window.go
+++ b/limiter/window.go
@@ -181,6 +181,9 @@
 	return func(w *Windows) { w.unspentAt = at.Add(w.allowance.Window + TransitTime) }
 }
 
+// WithStart sets the origin of the windows' times, which is otherwise the time of the call of NewWindows.
+func WithStart(at time.Time) WindowsOption { return func(w *Windows) { w.start = at } }
+
 // NewWindows returns the windows of one VM. The slack is shared by as many VMs as fleet returns.
 func NewWindows(a Allowance, fleet func() int, options ...WindowsOption) *Windows {
 	w := &Windows{
--- a/scatterer/fleet_test.go
+++ b/scatterer/fleet_test.go
@@ -101,7 +101,7 @@
 func domainName(n int) string { return fmt.Sprintf("domain-%d", n%fleetDomains) }
 
 func newFleet(load fleetLoad) *fleet {
-	f := &fleet{fleetLoad: load, random: rand.New(rand.NewPCG(1, 2)), outcomes: map[string]*fleetOutcome{}}
+	f := &fleet{fleetLoad: load, random: rand.New(rand.NewPCG(1, 2)), outcomes: map[string]*fleetOutcome{}, start: time.Now()}
 	c := modeler.Configuration{}
 	snapshot := planner.Snapshot{}
 	for i := range load.shards {
@@ -131,11 +131,9 @@
 		f.vms = append(f.vms, &fleetVM{
 			view:     planner.NewView(1, modeler.FailureDomain(domainName(i)), links, []modeler.Configuration{c}, observer.NewObserver(observer.WithPauses())),
 			snapshot: &snapshot, domain: domainName(i),
-			windows: limiter.NewWindows(allowance, func() int { return load.vms }),
+			windows: limiter.NewWindows(allowance, func() int { return load.vms }, limiter.WithStart(f.start)),
 		})
 	}
-	// The play begins after the VMs have started, which takes some time.
-	f.start = time.Now()
 	f.now = f.start
 	return f
 }
