dialer: a connection that ends in the middle of an answer is lost

Cause: a connection that broke after the first byte of an answer counted as a spoilt answer. Only lost connections are checked for crashed searchers, so the request never became suspect. Change: if the searcher has ended the connection, the attempt is lost, however far the answer had come. Whether the searcher has crashed is still asked of the searcher: one that breaks off an answer and takes connections makes nothing suspect. Bytes that cannot be read on a connection that stays open count as spoilt as before.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -95,22 +95,38 @@
 	return false, res.ReadLimitBody(c.r, maxBody-len("\r\n"))
 }
 
+// hasEnded reports whether the searcher closed or reset the connection, and all its bytes were received.
+func (c *conn) hasEnded() bool {
+	n, ok, err := c.readNow()
+	return ok && n <= 0 && !isTemporary(err)
+}
+
 // stale reports whether the searcher closed the idle connection or sent bytes that no request asked for.
 func (c *conn) stale() bool {
+	_, ok, err := c.readNow()
+	return ok && !isTemporary(err)
+}
+
+// isTemporary reports whether a read found an open connection without bytes.
+func isTemporary(err error) bool { return err == syscall.EAGAIN || err == syscall.EINTR }
+
+// readNow reads a byte of the connection without waiting for it. ok is false if the connection has no file descriptor.
+func (c *conn) readNow() (n int, ok bool, err error) {
 	raw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return false
+		return 0, false, nil
 	}
 	sc, err := raw.SyscallConn()
 	if err != nil {
-		return true
+		return 0, true, err
 	}
-	stale := true
 	var b [1]byte
-	err = sc.Read(func(fd uintptr) bool {
-		_, err := syscall.Read(int(fd), b[:])
-		stale = err != syscall.EAGAIN && err != syscall.EINTR
+	readErr := sc.Read(func(fd uintptr) bool {
+		n, err = syscall.Read(int(fd), b[:])
 		return true
 	})
-	return err != nil || stale
+	if readErr != nil {
+		return 0, true, readErr
+	}
+	return n, true, err
 }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -211,14 +211,15 @@
 }
 
 // handleFailure closes the connection of a failed exchange and returns the fault.
-// silent means that no byte of an answer came.
+// silent means that no byte of an answer came. A searcher that crashes may have sent a part of its answer, so a connection
+// that ends in an answer is lost like one that ends before it.
 func (d *Dialer) handleFailure(ctx context.Context, p *pool, c *conn, sent time.Time, silent bool) gatherer.Fault {
-	if !silent {
+	if !silent && (ctx.Err() != nil || !c.hasEnded()) {
 		p.retire(c, false, time.Time{})
 		return gatherer.FaultCorrupt
 	}
 	if ctx.Err() == nil {
-		if c.isNew() {
+		if silent && c.isNew() {
 			p.recordReset()
 		}
 		p.retire(c, true, time.Time{})
