A leave that VMs learn of late no longer counts from when they learn of it

Cause: three VMs read the store for the fleet. When all three lost it at once, the others went on with what they had until a reader's watch had failed, up to 4 s later, and a leave that they learned of then counted from that moment. Change: VMs know how long ago their configuration was last known to be complete. Readers find that by each answer of the store, and it travels with the membership's packets, beside the revision that it is about; the news is passed on at once, to two members, at most once in 0.6 s. A watch waits for 1 s, whatever the size of the fleet. A VM whose configuration was not confirmed for 1.8 s reads the store itself, by rank, more of them the longer it lasts, up to 24. Registrations that are missing after the store was out of reach for drain-within may have lapsed and are held from then, as before. A searcher that leaves the view without a hold is sent nothing from earlier views either. Weighed: all VMs reading the store (calls are priced, and 3,100 would exceed its limit); a shorter watch alone (the readers' loss would still be learned 2.5 s late); a hold of nothing (a store that returns has no searchers for two seconds).

--- a/configurer/reader.go
+++ b/configurer/reader.go
@@ -14,9 +14,15 @@
 const (
 	ReadersPerDomain = 2   // VMs of a failure domain that hold a watch on the configuration service
 	StoreReaders     = 3   // VMs of the fleet that read the platform's store
+	MaxStoreReaders  = 24  // of these while the configuration is not confirmed
 	FleetPollRate    = 100 // reads per second by the whole fleet
 	MinPollPeriod    = 2 * time.Second
 	MaxBackoff       = 3 * time.Second
+
+	// A configuration that was not confirmed for ConfirmLimit is read by twice as many VMs, and by twice as many again after
+	// each further ConfirmStep: the readers may all have lost the store.
+	ConfirmLimit = 1800 * time.Millisecond
+	ConfirmStep  = 300 * time.Millisecond
 )
 
 // IsReader reports whether a VM holds one of the watches of its failure domain on the configuration service,
@@ -25,10 +31,19 @@
 	return slices.Contains(planner.Rank("configuration/"+string(domain), alive, ReadersPerDomain), self)
 }
 
-// IsStoreReader reports whether a VM is one of the StoreReaders of the fleet, given the VMs that can read the
-// platform's store.
-func IsStoreReader(self modeler.VMName, candidates []modeler.VMName) bool {
-	return slices.Contains(planner.Rank("store", candidates, StoreReaders), self)
+// IsStoreReader reports whether a VM is one of those that read the platform's store, given the VMs that can, and for how
+// long the VM's configuration was not confirmed.
+func IsStoreReader(self modeler.VMName, candidates []modeler.VMName, unconfirmed time.Duration) bool {
+	return slices.Contains(planner.Rank("store", candidates, storeReaders(unconfirmed)), self)
+}
+
+// storeReaders returns how many VMs read the platform's store if the configuration was not confirmed for so long.
+func storeReaders(unconfirmed time.Duration) int {
+	n := StoreReaders
+	for limit := ConfirmLimit; unconfirmed >= limit && n < MaxStoreReaders; limit += ConfirmStep {
+		n *= 2
+	}
+	return min(n, MaxStoreReaders)
 }
 
 // PollPeriod returns the time between two reads of a VM without a watch, in a fleet of the given size.
--- a/configurer/registration_test.go
+++ b/configurer/registration_test.go
@@ -63,7 +63,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := NewStore(WithDecode(decodeLine), WithHold(hold))
+			s := NewStore(WithDecode(decodeLine), WithHold(hold, time.Second))
 			for i, text := range tt.texts {
 				s.Offer(time.Now(), modeler.Revision(i+1), []Value{{"servers/a", modeler.Revision(i + 1), []byte(text)}})
 			}
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -56,6 +56,9 @@
 	supersedes func(offered, held modeler.Revision) bool
 	decode     func(key string, text []byte) (modeler.Configuration, error)
 	holdPeriod time.Duration
+	// lapsePeriod is how long the store must have been out of reach for a missing registration to count as lapsed.
+	lapsePeriod time.Duration
+	confirmedAt func() time.Time
 }
 
 // Option changes a Store under construction.
@@ -72,8 +75,16 @@
 	return func(s *Store) { s.decode = f }
 }
 
-// WithHold sets how long a searcher stays in use after its registration was deleted or marked as leaving.
-func WithHold(d time.Duration) Option { return func(s *Store) { s.holdPeriod = d } }
+// WithHold sets how long a searcher stays in use after its registration was deleted or marked as leaving, at the longest.
+// A change that this VM learns of late may be as old as the configuration is unconfirmed; see WithConfirmedAt. If that is
+// lapse or longer, a deleted registration may have lapsed because searchers could not reach the store, and its searcher
+// stays in use for the whole time.
+func WithHold(d, lapse time.Duration) Option {
+	return func(s *Store) { s.holdPeriod, s.lapsePeriod = d, lapse }
+}
+
+// WithConfirmedAt sets the function that returns when the values were last known to be complete; zero if that is unknown.
+func WithConfirmedAt(f func() time.Time) Option { return func(s *Store) { s.confirmedAt = f } }
 
 // NewStore returns an empty store.
 func NewStore(options ...Option) *Store {
@@ -81,6 +92,8 @@
 		entries:    map[string]*entry{},
 		supersedes: func(offered, held modeler.Revision) bool { return offered > held },
 		decode:     decodeNative,
+
+		confirmedAt: func() time.Time { return time.Time{} },
 	}
 	for _, o := range options {
 		o(s)
@@ -92,10 +105,14 @@
 // head revision.
 // It returns the refused and the ignored values, and whether the configuration in force changed.
 func (s *Store) Offer(now time.Time, head modeler.Revision, values []Value) (refused []Refusal, changed bool) {
+	changedSince := s.confirmedAt()
+	if changedSince.IsZero() || changedSince.After(now) {
+		changedSince = now
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, v := range values {
-		refusal, valueChanged := s.offer(now, v)
+		refusal, valueChanged := s.offer(now, changedSince, v)
 		changed = changed || valueChanged
 		if refusal != nil {
 			refused = append(refused, *refusal)
@@ -140,7 +157,7 @@
 	}
 }
 
-func (s *Store) offer(now time.Time, v Value) (*Refusal, bool) {
+func (s *Store) offer(now, changedSince time.Time, v Value) (*Refusal, bool) {
 	e := s.entries[v.Key]
 	if e == nil {
 		e = &entry{}
@@ -157,7 +174,7 @@
 		e.refusedValue, e.refusalReason = v, shorten(err.Error())
 		return &Refusal{v.Key, v.Revision, e.refusalReason}, false
 	}
-	e.holdRegistration(now, parsed, s.holdPeriod)
+	e.holdRegistration(now, parsed, s.usableUntil(now, changedSince, parsed))
 	e.acceptedValue, e.configuration = v, parsed
 	e.deletedAt = time.Time{}
 	if len(v.Text) == 0 {
@@ -177,20 +194,24 @@
 	return strings.ToValidUTF8(reason[:maxReasonBytes], "") + "..."
 }
 
-// holdRegistration keeps a searcher in use for the hold period when the next value no longer registers it as ready.
+// usableUntil returns until when a searcher that the next value no longer registers as ready may be sent requests, if the
+// value has changed since the given time.
+func (s *Store) usableUntil(now, changedSince time.Time, next modeler.Configuration) time.Time {
+	deleted := len(next.Registrations) == 0
+	if deleted && now.Sub(changedSince) >= s.lapsePeriod {
+		return now.Add(s.holdPeriod)
+	}
+	return changedSince.Add(s.holdPeriod)
+}
+
+// holdRegistration keeps a searcher in use until the given time when the next value no longer registers it as ready.
 // A key registers at most one searcher. It also sets ReceivedAt of the next value's registration, and, if that is
 // leaving, UsableUntil.
-func (e *entry) holdRegistration(now time.Time, next modeler.Configuration, hold time.Duration) {
-	if hold == 0 || (len(next.Registrations) > 0 && !next.Registrations[0].Leaving) {
+func (e *entry) holdRegistration(now time.Time, next modeler.Configuration, until time.Time) {
+	if len(next.Registrations) > 0 && !next.Registrations[0].Leaving {
 		e.heldRegistrations = nil
 	} else {
-		for _, r := range e.configuration.Registrations {
-			if r.Leaving {
-				continue
-			}
-			r.Leaving, r.UsableUntil = true, now.Add(hold)
-			e.heldRegistrations = []modeler.Registration{r}
-		}
+		e.holdIfReady(now, until)
 	}
 	for i := range next.Registrations {
 		next.Registrations[i].ReceivedAt = now
@@ -200,6 +221,20 @@
 	}
 }
 
+// holdIfReady keeps the searcher that the accepted value registers as ready in use until the given time.
+func (e *entry) holdIfReady(now, until time.Time) {
+	for _, r := range e.configuration.Registrations {
+		if r.Leaving {
+			continue
+		}
+		e.heldRegistrations = nil
+		if until.After(now) {
+			r.Leaving, r.UsableUntil = true, until
+			e.heldRegistrations = []modeler.Registration{r}
+		}
+	}
+}
+
 // activeAt returns the configuration of the key in force at the time. A held registration takes precedence over
 // the accepted value; a leaving registration is left out from its UsableUntil on, which for a held one is the end of the
 // hold period.
--- a/gossiper/constants.go
+++ b/gossiper/constants.go
@@ -56,6 +56,12 @@
 	MaxSlowValidity = 5 * time.Second
 	// MinSlowExtension is by how much such news must extend the validity of the copy known to be spread again.
 	MinSlowExtension = time.Second
+	// ConfirmStep is by how much a VM's configuration must be confirmed later than when the VM last spread that, for it to
+	// do so again; it then tells ConfirmFanOut random members.
+	ConfirmStep   = 600 * time.Millisecond
+	ConfirmFanOut = 2
+	// maxConfirmAgeMillis bounds the age that a packet may state.
+	maxConfirmAgeMillis = 3_600_000
 	// macBytes is the length of the truncated authentication code at the end of a datagram.
 	macBytes = 16
 )
--- a/gossiper/node.go
+++ b/gossiper/node.go
@@ -85,6 +85,8 @@
 	news         map[newsKey]News
 	successors   map[ticketer.Incarnation]Successor // by the incarnation that left
 	head         modeler.Revision                   // the configuration revision that this VM holds
+	confirmedAt  time.Time                          // see Confirm
+	toldAt       time.Time                          // confirmedAt when this VM last told members of it
 	nextPull     time.Time
 	random       func(n int) int
 	clock        *recorder.Clock
@@ -142,13 +144,16 @@
 		out = n.mergeNews(now, x, out)
 	}
 	out = n.pullIfBehind(now, p, out)
+	if p.Confirmed && p.Head <= n.head {
+		out = n.Confirm(now, now.Add(-p.ConfirmAge), out)
+	}
 	switch p.Kind {
 	case Ping:
-		out = n.answerPing(p, out)
+		out = n.answerPing(now, p, out)
 	case PingRequest:
 		out = n.relayPing(now, p, out)
 	case Ack:
-		out = n.handleAck(p, out)
+		out = n.handleAck(now, p, out)
 	}
 	return out
 }
@@ -166,12 +171,12 @@
 	return append(out, Action{Kind: ActionPull, To: from.Member})
 }
 
-func (n *Node) answerPing(p *Packet, out []Action) []Action {
+func (n *Node) answerPing(now time.Time, p *Packet, out []Action) []Action {
 	to := n.peers[p.From]
 	if to == nil || (p.Target != "" && p.Target != n.self.Name) {
 		return out
 	}
-	return n.send(to.Member, &Packet{Kind: Ack, Sequence: p.Sequence}, out)
+	return n.send(now, to.Member, &Packet{Kind: Ack, Sequence: p.Sequence}, out)
 }
 
 func (n *Node) relayPing(now time.Time, p *Packet, out []Action) []Action {
@@ -181,14 +186,14 @@
 	}
 	n.sequence++
 	n.relayedPings[n.sequence] = relayedPing{p.From, p.Sequence, now}
-	return n.send(to.Member, &Packet{Kind: Ping, Sequence: n.sequence}, out)
+	return n.send(now, to.Member, &Packet{Kind: Ping, Sequence: n.sequence}, out)
 }
 
-func (n *Node) handleAck(p *Packet, out []Action) []Action {
+func (n *Node) handleAck(now time.Time, p *Packet, out []Action) []Action {
 	if r, ok := n.relayedPings[p.Sequence]; ok {
 		delete(n.relayedPings, p.Sequence)
 		if to := n.peers[r.origin]; to != nil {
-			out = n.send(to.Member, &Packet{Kind: Ack, Sequence: r.sequence}, out)
+			out = n.send(now, to.Member, &Packet{Kind: Ack, Sequence: r.sequence}, out)
 		}
 		return out
 	}
--- a/gossiper/packet.go
+++ b/gossiper/packet.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
+	"time"
 
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
@@ -33,6 +34,8 @@
 	Target      modeler.VMName // the VM to ping; empty in a Ping that is sent because of a PingRequest
 	Stamp       recorder.Stamp
 	Head        modeler.Revision // the configuration revision that the sender holds
+	Confirmed   bool             // whether ConfirmAge is known
+	ConfirmAge  time.Duration    // how long ago Head was known to be the latest revision, in whole milliseconds on the wire
 	Members     []Member
 	Successors  []Successor
 	News        []News
@@ -44,6 +47,9 @@
 		Kind: uint32(p.Kind), From: string(p.From), Incarnation: uint64(p.Incarnation), Sequence: p.Sequence,
 		Target: string(p.Target), Wall: p.Stamp.Wall, Logical: p.Stamp.Logical, Head: uint64(p.Head),
 	}
+	if p.Confirmed {
+		w.ConfirmAgeMillis = 1 + uint64(max(0, p.ConfirmAge).Milliseconds())
+	}
 	for _, m := range p.Members {
 		w.Members = append(w.Members, m.ToWire())
 	}
@@ -83,6 +89,10 @@
 		Sequence: w.GetSequence(), Target: modeler.VMName(w.GetTarget()),
 		Stamp: recorder.Stamp{Wall: w.GetWall(), Logical: w.GetLogical()}, Head: modeler.Revision(w.GetHead()),
 	}
+	if age := w.GetConfirmAgeMillis(); age > 0 {
+		p.Confirmed = true
+		p.ConfirmAge = time.Duration(min(age-1, maxConfirmAgeMillis)) * time.Millisecond
+	}
 	if p.Kind < Ping || p.Kind > Rumor {
 		return nil, errors.Errorf("packet has unknown kind %d", w.GetKind())
 	}
--- a/gossiper/probe.go
+++ b/gossiper/probe.go
@@ -15,7 +15,7 @@
 	}
 	n.sequence++
 	n.probes[n.sequence] = &probe{target: target, sentAt: now}
-	return n.send(n.peers[target].Member, &Packet{Kind: Ping, Sequence: n.sequence, Target: target}, out)
+	return n.send(now, n.peers[target].Member, &Packet{Kind: Ping, Sequence: n.sequence, Target: target}, out)
 }
 
 // nextTarget returns the next member to probe. It walks all live members in a random order that is renewed each round.
@@ -63,19 +63,19 @@
 			out = n.markSuspect(now, pr.target, out)
 		case !pr.indirectSent && now.Sub(pr.sentAt) >= ProbeTimeout*factor:
 			pr.indirectSent = true
-			out = n.probeIndirectly(seq, pr.target, out)
+			out = n.probeIndirectly(now, seq, pr.target, out)
 		}
 	}
 	return out
 }
 
 // probeIndirectly asks random members to ping the target, and pings it once more itself.
-func (n *Node) probeIndirectly(seq uint64, target modeler.VMName, out []Action) []Action {
+func (n *Node) probeIndirectly(now time.Time, seq uint64, target modeler.VMName, out []Action) []Action {
 	for _, m := range n.randomMembers(IndirectProbes, target) {
-		out = n.send(m, &Packet{Kind: PingRequest, Sequence: seq, Target: target}, out)
+		out = n.send(now, m, &Packet{Kind: PingRequest, Sequence: seq, Target: target}, out)
 	}
 	if p := n.peers[target]; p != nil {
-		out = n.send(p.Member, &Packet{Kind: Ping, Sequence: seq, Target: target}, out)
+		out = n.send(now, p.Member, &Packet{Kind: Ping, Sequence: seq, Target: target}, out)
 	}
 	return out
 }
--- a/gossiper/spread.go
+++ b/gossiper/spread.go
@@ -18,9 +18,10 @@
 
 // send fills in the sender's fields of a packet and asks for it to be sent. It adds this VM's own description, and
 // the target's if the target is suspect, so that the target can refute. Rumors are added while byteTokens is positive.
-func (n *Node) send(to Member, p *Packet, out []Action) []Action {
+func (n *Node) send(now time.Time, to Member, p *Packet, out []Action) []Action {
 	p.From, p.Incarnation, p.Head = n.self.Name, n.self.Incarnation, n.head
 	p.Stamp = n.clock.Now()
+	p.Confirmed, p.ConfirmAge = !n.confirmedAt.IsZero(), now.Sub(n.confirmedAt)
 	p.Members = append(p.Members, n.self)
 	if q := n.peers[to.Name]; q != nil && q.State == Suspect {
 		p.Members = append(p.Members, q.Member)
@@ -87,7 +88,7 @@
 	n.fanOutsLeft--
 	n.nextFanOut = now.Add(RumorPeriod)
 	for _, m := range n.randomMembers(FanOut, "") {
-		out = n.send(m, &Packet{Kind: Rumor}, out)
+		out = n.send(now, m, &Packet{Kind: Rumor}, out)
 	}
 	return out
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -115,6 +115,7 @@
 		s.replace() // the searcher belongs to another service now
 		return
 	}
+	s.registered = true
 	s.SetUsableUntil(r.UsableUntil)
 	if r.WarmUp > 0 {
 		s.SetSlowUntil(r.ReceivedAt.Add(r.WarmUp))
@@ -134,7 +135,7 @@
 }
 
 // Keep discards the state of searchers for which the function returns false, and of services that are not in the map. A
-// discarded searcher whose address others have kept has been replaced by them.
+// discarded searcher that was registered, or whose address others have kept, is sent no requests any more.
 func Keep[T any](o *Observer, keep func(a netip.AddrPort, name modeler.SearcherName) bool, services map[modeler.ServiceName]T) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -143,16 +144,15 @@
 		if len(kept) == len(states) {
 			continue
 		}
-		if len(kept) == 0 {
-			delete(o.searchers, a)
-			continue
-		}
 		for _, s := range states {
-			if !slices.Contains(kept, s) {
+			if !slices.Contains(kept, s) && (s.registered || len(kept) > 0) {
 				s.replace()
 			}
 		}
 		o.searchers[a] = kept
+		if len(kept) == 0 {
+			delete(o.searchers, a)
+		}
 	}
 	maps.DeleteFunc(o.services, func(n modeler.ServiceName, _ *Service) bool { _, ok := services[n]; return !ok })
 }
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -22,7 +22,8 @@
 	drainingUntil  time.Time
 	leaving        bool      // as the searcher itself said
 	usableUntil    time.Time // see SetUsableUntil
-	replaced       bool      // another searcher or incarnation has the address
+	replaced       bool      // another searcher or incarnation has the address, or the registration is gone
+	registered     bool      // there was a registration; only the observer uses it, under its lock
 	backoffUntil   time.Time // until when the searcher asked for no requests
 	penaltyStart   time.Time // the cost is raised from this time on for SlowStart
 	snapshotsKnown bool      // the searcher has reported the snapshots of some index
--- a/runner/readers.go
+++ b/runner/readers.go
@@ -56,18 +56,29 @@
 }
 
 // isStoreReader reports whether this VM reads the platform's store for the fleet. It does if it ranks among the first
-// StoreReaders of the candidates, if it receives nothing from other VMs, or if it has no configuration yet.
+// of the candidates, of which more read the longer the configuration is unconfirmed; if it receives nothing from other
+// VMs; or if it has no configuration yet.
 func (v *VM) isStoreReader() bool {
 	now := time.Now()
-	isolated := false
-	v.gossip.Inspect(func(n *gossiper.Node) { isolated = n.Isolated(now) })
+	isolated, confirmedAt := false, v.startedAt
+	v.gossip.Inspect(func(n *gossiper.Node) {
+		isolated = n.Isolated(now)
+		confirmedAt = later(confirmedAt, n.ConfirmedAt())
+	})
 	if isolated || v.store.Head() == 0 {
 		return true
 	}
 	if v.cfg.Routing.FirstStart && !v.isSeed() && time.Since(v.startedAt) < LearnPeriod {
 		return false // not all members are known yet, so too many VMs would rank themselves as readers
 	}
-	return configurer.IsStoreReader(v.cfg.Name, v.storeLosses.storeCandidates(v.membership.Load().members, now))
+	return configurer.IsStoreReader(v.cfg.Name, v.storeLosses.storeCandidates(v.membership.Load().members, now), now.Sub(confirmedAt))
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
 }
 
 // announceStoreLoss announces that this VM cannot read the store, so that another VM reads in its place. The news is
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -46,7 +46,10 @@
 		return nil
 	}
 	hold := min(MaxRegistrationHold, v.cfg.Routing.DrainWithin.Duration-DrainMargin)
-	return []configurer.Option{configurer.WithDecode(platform.Decode), configurer.WithHold(hold)}
+	return []configurer.Option{
+		configurer.WithDecode(platform.Decode), configurer.WithHold(hold, v.cfg.Routing.DrainWithin.Duration),
+		configurer.WithConfirmedAt(func() time.Time { return v.gossip.ConfirmedAt() }),
+	}
 }
 
 // buildRouting builds the parts that only a VM that serves routes has.
@@ -55,7 +58,7 @@
 	v.cfg.Links = append(v.cfg.Links, planner.LinksFrom(v.cfg.FailureDomain, r.Regions)...)
 	v.storeClient = platform.NewStore(local, r.Store, func() { v.platformCalls.Add(1) })
 	v.follower = &watcher.Follower{
-		List: v.storeClient.List, Watch: v.storeClient.Watch, Store: v.store, VMCount: v.fleetSize, Changed: v.applyOffer,
+		List: v.storeClient.List, Watch: v.storeClient.Watch, Store: v.store, Changed: v.applyOffer, Confirm: func(at time.Time) { v.gossip.Confirm(at) },
 		IsReader: v.isStoreReader, OnStepFailed: v.announceStoreLoss,
 	}
 	v.scatterer.Windows = v.newWindows()
--- a/watcher/client.go
+++ b/watcher/client.go
@@ -22,7 +22,7 @@
 	// CallTimeout bounds a call that does not watch.
 	CallTimeout = 2 * time.Second
 	// WatchTimeout is how long the configuration service may take to answer a watch. The call may take watchMargin
-	// longer. Watches of the platform's store are bounded by MinWait and MaxWait.
+	// longer. Watches of the platform's store wait for StoreWait.
 	WatchTimeout = 30 * time.Second
 	maxBodyBytes = 4 << 20
 	maxKeyLength = 200
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -28,12 +28,9 @@
 
 // Limits on the reads of the platform's store.
 const (
-	// MinWait and MaxWait bound how long a watch of the store waits for a change. The time is part of the request, unlike
-	// in a watch of the configuration service (WatchTimeout).
-	MinWait = 2500 * time.Millisecond
-	MaxWait = 25 * time.Second
-	// VMsPerWaitSecond is how many VMs of the fleet add one second to that wait.
-	VMsPerWaitSecond = 100
+	// StoreWait is how long a watch of the store waits for a change. The time is part of the request, unlike in a watch of
+	// the configuration service (WatchTimeout). Its end without a change confirms the configuration; see Follower.Confirm.
+	StoreWait = time.Second
 	// maxPages bounds the pages of one list; list ignores further pages.
 	maxPages = 400
 	// watchPause is the time between a successful step and the next.
@@ -51,7 +48,7 @@
 	// Watch reads the changes after a revision and waits for one if there is none yet.
 	Watch        func(ctx context.Context, after modeler.Revision, wait time.Duration) (Page, error)
 	Store        *configurer.Store
-	VMCount      func() int                                       // the number of VMs in the fleet
+	Confirm      func(at time.Time)                               // called when Store was found to have every change until then
 	IsReader     func() bool                                      // whether this VM reads the platform's store
 	OnStepFailed func()                                           // called after each failed step
 	Changed      func(refused []configurer.Refusal, changed bool) // called with the results of each change of Store
@@ -90,7 +87,8 @@
 	if f.Store.Head() == 0 {
 		return f.list(ctx)
 	}
-	p, err := f.Watch(ctx, f.cursor, f.watchTimeout())
+	sent := time.Now()
+	p, err := f.Watch(ctx, f.cursor, StoreWait)
 	if errors.Is(err, ErrHistoryLost) {
 		klog.InfoS("store: history lost", "revision", f.cursor)
 		return f.list(ctx)
@@ -101,14 +99,18 @@
 	f.cursor = max(f.cursor, p.Revision)
 	if len(p.Values) > 0 {
 		f.Changed(f.Store.Offer(time.Now(), p.Revision, p.Values))
+		f.Confirm(sent)
+		return nil
 	}
+	f.Confirm(earlier(time.Now(), sent.Add(StoreWait)))
 	return nil
 }
 
-// watchTimeout returns how long a watch of the store waits for a change. It grows with the fleet, so that few watches
-// end without a change.
-func (f *Follower) watchTimeout() time.Duration {
-	return min(MaxWait, max(MinWait, time.Duration(f.VMCount())*time.Second/VMsPerWaitSecond))
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // list reads pages until the last one, an empty one or the limit maxPages, which is not an error. A key that the VM's
@@ -117,6 +119,7 @@
 	var all []configurer.Value
 	var firstRevision modeler.Revision
 	after := ""
+	sent := time.Now()
 	for n := range maxPages {
 		p, err := f.List(ctx, after)
 		if err != nil {
@@ -136,6 +139,7 @@
 	}
 	f.Changed(f.Store.Replace(time.Now(), firstRevision, all))
 	f.cursor = firstRevision
+	f.Confirm(sent)
 	return nil
 }
 
--- a/watcher/follower_test.go
+++ b/watcher/follower_test.go
@@ -27,7 +27,7 @@
 			return second, nil
 		},
 		Watch:   func(context.Context, modeler.Revision, time.Duration) (Page, error) { return Page{}, ErrHistoryLost },
-		VMCount: func() int { return 1 },
+		Confirm: func(time.Time) {},
 		Changed: func([]configurer.Refusal, bool) {},
 	}
 	f.Store.Offer(time.Now(), 8, []configurer.Value{value("b", 7)})
