--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -117,11 +117,11 @@
 	}, nil
 }
 
-func (s Successor) toWire() *messenger.Heir {
-	return &messenger.Heir{From: uint64(s.From), To: uint64(s.To), UntilMillis: s.Until.UnixMilli()}
+func (s Successor) toWire() *messenger.Successor {
+	return &messenger.Successor{From: uint64(s.From), To: uint64(s.To), UntilMillis: s.Until.UnixMilli()}
 }
 
-func successorFromWire(w *messenger.Heir) Successor {
+func successorFromWire(w *messenger.Successor) Successor {
 	return Successor{ticketer.Incarnation(w.GetFrom()), ticketer.Incarnation(w.GetTo()), time.UnixMilli(w.GetUntilMillis())}
 }
 
@@ -145,8 +145,8 @@
 }
 
 // SuccessorsToWire returns the wire form of successors.
-func SuccessorsToWire(successors []Successor) []*messenger.Heir {
-	out := make([]*messenger.Heir, len(successors))
+func SuccessorsToWire(successors []Successor) []*messenger.Successor {
+	out := make([]*messenger.Successor, len(successors))
 	for i, s := range successors {
 		out[i] = s.toWire()
 	}
@@ -154,7 +154,7 @@
 }
 
 // SuccessorsFromWire returns the successors in wire messages.
-func SuccessorsFromWire(ws []*messenger.Heir) []Successor {
+func SuccessorsFromWire(ws []*messenger.Successor) []Successor {
 	out := make([]Successor, len(ws))
 	for i, w := range ws {
 		out[i] = successorFromWire(w)
--- a/gossiper/packet.go
+++ b/gossiper/packet.go
@@ -54,7 +54,7 @@
 		w.Members = append(w.Members, m.ToWire())
 	}
 	for _, s := range p.Successors {
-		w.Heirs = append(w.Heirs, s.toWire())
+		w.Successors = append(w.Successors, s.toWire())
 	}
 	for _, n := range p.News {
 		w.News = append(w.News, n.toWire())
@@ -106,7 +106,7 @@
 		}
 		p.Members = append(p.Members, m)
 	}
-	for _, x := range w.GetHeirs() {
+	for _, x := range w.GetSuccessors() {
 		p.Successors = append(p.Successors, successorFromWire(x))
 	}
 	for _, x := range w.GetNews() {
--- a/relayer/service.go
+++ b/relayer/service.go
@@ -86,7 +86,7 @@
 		for _, m := range n.Differing(r.GetDigests()) {
 			out.Members = append(out.Members, m.ToWire())
 		}
-		out.Heirs = gossiper.SuccessorsToWire(n.Successors())
+		out.Successors = gossiper.SuccessorsToWire(n.Successors())
 		out.News = gossiper.NewsToWire(n.NewsList())
 	})
 	return out, nil
@@ -102,7 +102,7 @@
 	if !s.Tickets.Adopt(h) {
 		return &messenger.AdoptResult{}, nil
 	}
-	return &messenger.AdoptResult{Heir: uint64(s.Self)}, nil
+	return &messenger.AdoptResult{Successor: uint64(s.Self)}, nil
 }
 
 // membersFromWire leaves out members that cannot be decoded.
--- a/runner/members.go
+++ b/runner/members.go
@@ -175,7 +175,7 @@
 		}
 	}
 	v.gossip.MergeMembers(members)
-	v.gossip.MergeSuccessors(gossiper.SuccessorsFromWire(res.GetHeirs()))
+	v.gossip.MergeSuccessors(gossiper.SuccessorsFromWire(res.GetSuccessors()))
 	v.gossip.MergeNews(gossiper.NewsFromWire(res.GetNews()))
 	return nil
 }
--- a/runner/orders.go
+++ b/runner/orders.go
@@ -81,10 +81,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, AdoptTimeout)
 		res, err := v.relayClient.Peer(m.Address).Adopt(callCtx, relayer.HandoverToWire(h))
 		cancel()
-		if err != nil || res.GetHeir() == 0 {
+		if err != nil || res.GetSuccessor() == 0 {
 			continue
 		}
-		successor := ticketer.Incarnation(res.GetHeir())
+		successor := ticketer.Incarnation(res.GetSuccessor())
 		v.recorder.Record(recorder.Event{Kind: recorder.TicketsHandedOver, Detail: string(m.Name)})
 		return []gossiper.Successor{{From: h.From, To: successor, Until: until}}
 	}
