observer: a searcher whose service was dropped stays the same one in later views

What callers would see: later attempts of requests under way at services that the configuration has just dropped are held back, though their searchers still serve, once two further views were built. Change: it is compared by its name. Names: gone instead of replaced, which had come to mean more. Test: TestSearcherOfADroppedServiceStillLeaves drops the service's state now, and failed before.

--- a/observer/address_test.go
+++ b/observer/address_test.go
@@ -40,7 +40,7 @@
 	o := NewObserver()
 	r := modeler.Registration{Service: "desk", Searcher: modeler.Searcher{Name: "a", Address: netip.MustParseAddrPort("10.0.0.1:80")}}
 	s := o.Join(r.Searcher.Address, "a", r.Searcher.StartedAt, o.Service("desk"))
-	Keep(o, func(netip.AddrPort, modeler.SearcherName) bool { return true }, map[modeler.ServiceName]bool{"desk": true})
+	Keep(o, func(netip.AddrPort, modeler.SearcherName) bool { return true }, map[modeler.ServiceName]bool{})
 	o.Register(r)
 	if !s.MaySend(backoffStart) {
 		t.Error("a searcher that is still registered may not be sent requests")
--- a/observer/leaving.go
+++ b/observer/leaving.go
@@ -31,7 +31,7 @@
 }
 
 // HasLeft reports whether the time is over in which a searcher that is no longer registered as ready may be sent requests,
-// or another incarnation has replaced the searcher.
+// or the searcher is gone; see markGone.
 func (s *Searcher) HasLeft(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -39,14 +39,15 @@
 }
 
 func (s *Searcher) hasLeft(now time.Time) bool {
-	return s.replaced || (!s.usableUntil.IsZero() && !now.Before(s.usableUntil))
+	return s.gone || (!s.usableUntil.IsZero() && !now.Before(s.usableUntil))
 }
 
-// replace records that another searcher, or another incarnation of this one, has the address now.
-func (s *Searcher) replace() {
+// markGone records that another searcher, or another incarnation of this one, has the address now, or that the
+// registration was dropped.
+func (s *Searcher) markGone() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.replaced = true
+	s.gone = true
 }
 
 // MaySend reports whether a request may be written to the searcher now: it neither drains nor leaves nor has left, and has
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -63,7 +63,7 @@
 	if s == nil || !s.isIncarnation(startedAt, service) {
 		s = o.replace(a, s, service)
 	}
-	s.name, s.startedAt, s.joined = name, startedAt, service
+	s.name, s.startedAt, s.joined = name, startedAt, service.name
 	if o.expectPauses {
 		s.setService(service)
 	}
@@ -90,7 +90,7 @@
 		o.searchers[a] = append(o.searchers[a], s)
 		return s
 	}
-	old.replace()
+	old.markGone()
 	states := o.searchers[a]
 	states[slices.Index(states, old)] = s
 	return s
@@ -99,7 +99,7 @@
 // isIncarnation reports whether the state is that of a searcher which belongs to the service and has run since startedAt.
 // Only Join writes the fields that it compares, and it holds the observer's lock.
 func (s *Searcher) isIncarnation(startedAt time.Time, service *Service) bool {
-	return s.startedAt.Equal(startedAt) && (s.joined == nil || s.joined == service)
+	return s.startedAt.Equal(startedAt) && (s.joined == "" || s.joined == service.name)
 }
 
 // Register applies a registration to the state of its searcher, also if the view lacks the searcher's service: until when
@@ -111,8 +111,8 @@
 	if s == nil {
 		return
 	}
-	if s.joined != nil && s.joined != o.services[r.Service] {
-		s.replace() // the searcher belongs to another service now
+	if s.joined != "" && s.joined != r.Service {
+		s.markGone() // the searcher belongs to another service now
 		return
 	}
 	s.registered = true
@@ -129,6 +129,7 @@
 	s := o.services[n]
 	if s == nil {
 		s = NewService()
+		s.name = n
 		o.services[n] = s
 	}
 	return s
@@ -146,7 +147,7 @@
 		}
 		for _, s := range states {
 			if !slices.Contains(kept, s) && (s.registered || len(kept) > 0) {
-				s.replace()
+				s.markGone()
 			}
 		}
 		o.searchers[a] = kept
--- a/observer/searcher.go
+++ b/observer/searcher.go
@@ -22,7 +22,7 @@
 	drainingUntil  time.Time
 	leaving        bool      // as the searcher itself said
 	usableUntil    time.Time // see SetUsableUntil
-	replaced       bool      // another searcher or incarnation has the address, or the registration is gone
+	gone           bool      // another searcher or incarnation has the address, or the registration was dropped
 	registered     bool      // there was a registration; only the observer uses it, under its lock
 	backoffUntil   time.Time // until when the searcher asked for no requests
 	penaltyStart   time.Time // the cost is raised from this time on for SlowStart
@@ -31,10 +31,10 @@
 	generation     *atomic.Uint64 // of the Observer
 	name           modeler.SearcherName
 	startedAt      time.Time
-	joined         *Service  // that the searcher belongs to; nil before Join
-	service        *Service  // whose typical latency is expected; nil without WithPauses and before Join
-	waitingSince   time.Time // last answer, or the start of an attempt while no other was under way
-	slowAnswers    int       // in a row
+	joined         modeler.ServiceName // the service of the searcher; empty before Join
+	service        *Service            // whose typical latency is expected; nil without WithPauses and before Join
+	waitingSince   time.Time           // last answer, or the start of an attempt while no other was under way
+	slowAnswers    int                 // in a row
 	lastSlow       time.Time
 	slowness       slowDetector
 	report         slowReport
--- a/observer/service.go
+++ b/observer/service.go
@@ -7,10 +7,13 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
 // Service holds the recent latency of one service's answers.
 type Service struct {
+	name           modeler.ServiceName
 	mu             sync.Mutex
 	latency        *hdrhistogram.WindowedHistogram
 	samples        int
