runner: VMs that lost the store try it again while nobody confirms it

Cause: since more VMs read the store the longer it is unconfirmed, all failed in the outage. A VM that has lost the store leaves it to others for 5 s; each knew itself as one that lost it, and had forgotten others that had failed earlier. Test: TestVMsThatLostTheStoreTryItAgainWhileItIsUnconfirmed, failed before.

--- a/runner/readers.go
+++ b/runner/readers.go
@@ -35,8 +35,9 @@
 }
 
 // storeCandidates returns the VMs that are alive and can read the platform's store, or all VMs that are alive if none
-// can read it.
-func (l *storeLosses) storeCandidates(members []gossiper.Member, now time.Time) []modeler.VMName {
+// can read it, or if the configuration was not confirmed for ConfirmLimit: then those that lost the store try it again too,
+// because nobody may be reading it.
+func (l *storeLosses) storeCandidates(members []gossiper.Member, now time.Time, unconfirmed time.Duration) []modeler.VMName {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var candidates, alive []modeler.VMName
@@ -49,7 +50,7 @@
 			candidates = append(candidates, m.Name)
 		}
 	}
-	if len(candidates) == 0 {
+	if len(candidates) == 0 || unconfirmed >= configurer.ConfirmLimit {
 		return alive
 	}
 	return candidates
@@ -71,7 +72,9 @@
 	if v.cfg.Routing.FirstStart && !v.isSeed() && time.Since(v.startedAt) < LearnPeriod {
 		return false // not all members are known yet, so too many VMs would rank themselves as readers
 	}
-	return configurer.IsStoreReader(v.cfg.Name, v.storeLosses.storeCandidates(v.membership.Load().members, now), now.Sub(confirmedAt))
+	unconfirmed := now.Sub(confirmedAt)
+	candidates := v.storeLosses.storeCandidates(v.membership.Load().members, now, unconfirmed)
+	return configurer.IsStoreReader(v.cfg.Name, candidates, unconfirmed)
 }
 
 func later(a, b time.Time) time.Time {
