dialer: an answer needs a status that an answer can have

Callers saw: an answer of a searcher whose status was 000 as 200, with its stamp and body, also as a part of a query over shards; for 001 to 099 a closed connection without an answer; for 101 a 101. The same on routes that run at most once.

Cause: the HTTP library reads 000 as 200, so that no check behind it can tell them apart, and passes other statuses below 200 on; those below 100 make WriteHeader panic.

Evidence, on the code before: TestCallersGetNoAnswerWithoutAFinalStatus failed in all four cases (000: status 200 with stamps and body, 0 parts missing, in 9 of 9 requests; 001, 099: EOF; 101: status 101), TestAnswersWithoutAFinalStatusAreCorrupt for 000, 001, 099 and 101, alone and after an informational answer (fault none or rejected, the connection kept; the load endpoint's 000 counted as its answer).

Change: each head, also of informational answers, is checked before the library sees it, at the one place where bytes of searchers become an answer. One that fails is malformed: nothing is concluded from it, its connection is closed, an order ends with 502. Handled already and kept as a test: clients that read with net/http (TestReadersRejectAnswersWithoutAFinalStatus), unusual but sound heads (TestUnusualAnswersAreRead).

Result: both tests pass; go test -race of dialer, platform, scatterer and server passes.

--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -92,7 +92,7 @@
 	}
 	// fasthttp reads the line end of a chunk into the body's buffer, which doubles when it is full:
 	// the body's limit leaves room for the line end.
-	return false, res.ReadLimitBody(c.r, maxBody-len("\r\n"))
+	return false, readAnswer(c.r, res, maxBody-len("\r\n"))
 }
 
 // hasEnded reports whether the searcher closed or reset the connection, and all its bytes were received.
