dialer: the name of a field in an answer must be a token

Callers saw: an answer whose head had a blank in the name of a field as a 200, in the worst cases with another stamp (" X-Note: b" after the stamp's line) or with the body that "Content-Length : 3" frames. A 503 with X-Not-Executed and such a line became 429 though the searcher had run the request; a 421 with one became 503. An order ran on a second searcher.

Cause: the HTTP library takes blanks in names, trims one before the colon, and joins a line that begins with a blank to the value before it. What it returns does not show that the head was broken.

Change: the check of heads covers the names of fields, and so does one of the fields after a chunked body, before the library sees them. A line that begins with a blank fails: RFC 9112, 5.2 lets a gateway reject it, and what it means cannot be told.

--- a/dialer/head.go
+++ b/dialer/head.go
@@ -6,9 +6,15 @@
 	"fmt"
 	"net/http"
 
+	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 )
 
+const (
+	lineEnd = "\r\n"
+	headEnd = lineEnd + lineEnd
+)
+
 // headError reports a head that is not that of an answer. Nothing is concluded from such an answer: neither whose it is
 // nor whether the request ran.
 type headError struct {
@@ -22,52 +28,100 @@
 }
 
 // readAnswer reads one answer after any informational ones, whose heads it discards. The library reads a status of 000
-// as 200, so each head is checked before the library sees it.
+// as 200, and takes blanks in the names of fields, so heads and trailers are checked before the library sees them.
 func readAnswer(r *bufio.Reader, res *fasthttp.Response, maxBody int) error {
+	status, err := discardInformational(r)
+	if err != nil {
+		return err
+	}
+	if err := res.Header.Read(r); err != nil {
+		return err
+	}
+	if res.SkipBody || status == http.StatusNoContent || status == http.StatusNotModified {
+		return nil
+	}
+	if err := res.ReadBody(r, maxBody); err != nil {
+		return err
+	}
+	if res.Header.ContentLength() != lengthOfChunked {
+		return nil
+	}
+	if err := checkTrailer(r); err != nil {
+		return err
+	}
+	return res.Header.ReadTrailer(r)
+}
+
+// lengthOfChunked is what the library returns as the length of a chunked body.
+const lengthOfChunked = -1
+
+// discardInformational checks the heads up to the first that is not informational, and returns the status of that one,
+// which it leaves in the reader.
+func discardInformational(r *bufio.Reader) (status int, err error) {
 	for {
 		head, err := peekHead(r)
 		if err != nil {
-			return err
+			return 0, err
 		}
 		status, err := parseHead(head)
-		if err != nil {
-			return err
-		}
-		if status >= http.StatusOK {
-			return res.ReadLimitBody(r, maxBody)
+		if err != nil || status >= http.StatusOK {
+			return status, err
 		}
 		_, _ = r.Discard(len(head))
 	}
 }
 
+// checkTrailer checks the fields after a chunked body, if there are any, and leaves them in the reader.
+func checkTrailer(r *bufio.Reader) error {
+	b, err := r.Peek(len(lineEnd))
+	if err != nil || string(b) == lineEnd {
+		return err
+	}
+	trailer, err := peekHead(r)
+	if err != nil {
+		return err
+	}
+	return checkFields(trailer)
+}
+
 // peekHead returns the next head, with empty lines before it and the one that ends it, and leaves it in the reader. The
-// error is bufio.ErrBufferFull if it is longer than the reader's buffer.
+// error wraps bufio.ErrBufferFull if it is longer than the reader's buffer.
 func peekHead(r *bufio.Reader) ([]byte, error) {
-	headEnd := []byte("\r\n\r\n")
 	for {
 		b, _ := r.Peek(r.Buffered())
-		start := len(b) - len(bytes.TrimLeft(b, "\r\n"))
-		if i := bytes.Index(b[start:], headEnd); i >= 0 {
+		start := len(b) - len(bytes.TrimLeft(b, lineEnd))
+		if i := bytes.Index(b[start:], []byte(headEnd)); i >= 0 {
 			return b[:start+i+len(headEnd)], nil
 		}
 		if _, err := r.Peek(len(b) + 1); err != nil {
-			return nil, err
+			return nil, errors.Wrap(err, "read head")
 		}
 	}
 }
 
-// parseHead returns the status of a head. The error is a *headError if no answer can have it.
+// parseHead returns the status of a head. The error is a *headError if no answer can have such a head.
 func parseHead(head []byte) (status int, err error) {
-	statusLine, _, _ := bytes.Cut(bytes.TrimLeft(head, "\r\n"), []byte("\n"))
-	statusLine = bytes.TrimSuffix(statusLine, []byte("\r"))
-	status, ok := parseStatus(statusLine)
+	line, fields, _ := bytes.Cut(bytes.TrimLeft(head, lineEnd), []byte("\n"))
+	line = bytes.TrimSuffix(line, []byte("\r"))
+	status, ok := parseStatus(line)
 	switch {
 	case !ok:
-		return 0, &headError{"no status of 100 to 999", statusLine}
+		return 0, &headError{"no status of 100 to 999", line}
 	case status == http.StatusSwitchingProtocols:
-		return 0, &headError{"another protocol, for which no request asks", statusLine}
+		return 0, &headError{"another protocol, for which no request asks", line}
+	}
+	return status, checkFields(fields)
+}
+
+// checkFields returns a *headError if the name of a field is not a token (RFC 9110, section 5.6.2). The lines end with an
+// empty one. A line that begins with a blank fails too: whether it continues a value or has a broken name cannot be told.
+func checkFields(lines []byte) error {
+	for line := range bytes.Lines(bytes.TrimSuffix(lines, []byte(lineEnd))) {
+		if name, _, ok := bytes.Cut(line, []byte(":")); !ok || !isToken(name) {
+			return &headError{"field name is not a token", line}
+		}
 	}
-	return status, nil
+	return nil
 }
 
 // parseStatus returns the status of a status line; ok is false if it is not a number from 100 to 999. The library checks
--- a/dialer/head_test.go
+++ b/dialer/head_test.go
@@ -1,11 +1,17 @@
 package dialer
 
 import (
+	"bufio"
+	"context"
+	"fmt"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/pistachiogap/pistachiogap/gatherer"
 )
 
@@ -17,10 +23,19 @@
 		return err == nil
 	})
 	d := newTestDialer(t, 1)
-	if r := d.Do(t.Context(), call(s)); r.Fault != gatherer.FaultCorrupt || r.Err == nil || r.Body != nil {
-		t.Errorf("answer %q: fault %s with error %v and body %q, want corrupt with the cause and without a body", answer, r.Fault, r.Err, r.Body)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	r := d.Do(ctx, call(s))
+	if ctx.Err() != nil {
+		t.Fatalf("answer %q: more bytes were waited for", answer)
+	}
+	if r.Fault != gatherer.FaultCorrupt || r.Err == nil {
+		t.Errorf("answer %q: fault %s with error %v, want corrupt with the cause", answer, r.Fault, r.Err)
 	}
-	if _, err := d.Ping(t.Context(), s.addr, time.Minute); err == nil {
+	if r.Body != nil || r.Draining || r.Held != nil || r.RetryAfter > 0 {
+		t.Errorf("answer %q: something of it is believed: %+v", answer, r)
+	}
+	if _, err := d.Ping(ctx, s.addr, time.Minute); err == nil {
 		t.Errorf("answer %q: counts as one of the load endpoint", answer)
 	}
 	if open, _ := d.ConnectionCounts(); open != 0 {
@@ -41,11 +56,12 @@
 	checkMalformedAnswer(t, "HTTP/1.1 000\r\n"+jsonLoad)
 }
 
-// Sound answers of unusual forms must stay usable.
+// Answers of unusual but sound forms must stay usable.
 func TestUnusualAnswersAreRead(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 200\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 \xfc\tok\r\n", "\r\nHTTP/1.1 200 OK\r\n",
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+		"HTTP/1.1 200 OK\r\nX-Note:\r\nx!#$%&'*+-.^_`|~9: \xfc\t: b \r\n",
 		"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 199 X\r\n\r\n\r\nHTTP/1.1 200 OK\r\n",
 	} {
 		s := startSearcher(t, func(c net.Conn, _ int64) bool {
@@ -64,3 +80,103 @@
 		}
 	}
 }
+
+// readBoth reads the same bytes with the library alone and with readAnswer.
+func readBoth(t *testing.T, answer string, skipBody bool) (want, got string) {
+	t.Helper()
+	read := func(f func(r *bufio.Reader, res *fasthttp.Response) error) string {
+		r, res := bufio.NewReaderSize(strings.NewReader(answer), readBufferSize), &fasthttp.Response{SkipBody: skipBody}
+		if err := f(r, res); err != nil {
+			return "error"
+		}
+		var fields []string
+		for name, value := range res.Header.All() {
+			fields = append(fields, string(name)+": "+string(value))
+		}
+		return fmt.Sprintf("status %d, body %q, %d bytes left, close %t, length %d, fields %q", res.StatusCode(), res.Body(), r.Buffered(),
+			res.ConnectionClose(), res.Header.ContentLength(), fields)
+	}
+	want = read(func(r *bufio.Reader, res *fasthttp.Response) error { return res.ReadLimitBody(r, MaxPartBytes) })
+	got = read(func(r *bufio.Reader, res *fasthttp.Response) error { return readAnswer(r, res, MaxPartBytes) })
+	return want, got
+}
+
+// Sound answers, and answers that end early, must be read as the library reads them.
+func TestAnswersAreReadAsByTheLibrary(t *testing.T) {
+	heads := []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 204 No Content\r\n", "HTTP/1.1 304 Not Modified\r\n", "HTTP/1.1 600 X\r\n"}
+	bodies := []string{
+		"\r\n", "\r\nok", "Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok", "Content-Length: 2\r\nConnection: close\r\n\r\nokmore",
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\nmore", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Note: a\r\nY: c\r\n\r\nmore", "Transfer-Encoding: gzip\r\n\r\nok",
+		"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "Content-Length: 2\r\nContent-Length: 3\r\n\r\nokk",
+		"Content-Length: 999999999\r\n\r\nok",
+	}
+	for _, head := range heads {
+		for _, body := range bodies {
+			whole := head + "X-Note: a\r\n" + body
+			for n := range len(whole) + 1 {
+				for _, skipBody := range []bool{false, true} {
+					if want, got := readBoth(t, whole[:n], skipBody); got != want {
+						t.Errorf("%q, body skipped %t: read as %s; want %s", whole[:n], skipBody, got, want)
+					}
+				}
+			}
+		}
+	}
+}
+
+// BenchmarkReadAnswer reads one answer after the other with the library alone and with the checks of readAnswer.
+func BenchmarkReadAnswer(b *testing.B) {
+	const fields = "HTTP/1.1 200 OK\r\nDate: Sun, 06 Dec 2026 00:00:00 GMT\r\nX-Attempt-Id: 9c41d07be2a35f68\r\n" +
+		"X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nKeep-Alive: timeout=5\r\n"
+	record := strings.Repeat("x", 400)
+	answers := map[string]string{
+		"length":  fields + "Content-Length: 400\r\n\r\n" + record,
+		"chunked": fields + "Transfer-Encoding: chunked\r\n\r\n190\r\n" + record + "\r\n0\r\n\r\n",
+	}
+	readers := map[string]func(r *bufio.Reader, res *fasthttp.Response) error{
+		"library": func(r *bufio.Reader, res *fasthttp.Response) error { return res.ReadLimitBody(r, MaxPartBytes) },
+		"checked": func(r *bufio.Reader, res *fasthttp.Response) error { return readAnswer(r, res, MaxPartBytes) },
+	}
+	for _, framing := range []string{"length", "chunked"} {
+		for _, reader := range []string{"library", "checked"} {
+			b.Run(framing+"/"+reader, func(b *testing.B) {
+				b.ReportAllocs()
+				source := strings.NewReader("")
+				r := bufio.NewReaderSize(source, readBufferSize)
+				for b.Loop() {
+					source.Reset(answers[framing])
+					r.Reset(source)
+					res := fasthttp.AcquireResponse()
+					if err := readers[reader](r, res); err != nil {
+						b.Fatal(err)
+					}
+					fasthttp.ReleaseResponse(res)
+				}
+			})
+		}
+	}
+}
+
+// malformedLines are header lines whose field name has a blank or a control byte, or is empty.
+var malformedLines = []string{
+	"X Note: b", "X-Note : b", " X-Note: b", "\tX-Note: b", "X-Note\t: b", "X\tNote: b", " : b", ": b", "X Note : b", "Attempt-Id : r.0", "Draining : true",
+	"Content-Length : 3", "Transfer-Encoding : chunked", "Connection : close", "X-Note: a\nX Note: b", "X-Note: a\n\nX-Note: b",
+	"X\x00Note: b", "X\x01Note: b", "X\x1fNote: b", "X\x7fNote: b", "X\rNote: b", "X-Note\r: b", "\x00: b", "nothing",
+}
+
+// Guards against answers in whose head a field name is no token: such a line may give another body, attempt or refusal
+// than the searcher meant, and proves that bytes are broken.
+func TestAnswersWithAMalformedFieldNameAreCorrupt(t *testing.T) {
+	const refusal = "HTTP/1.1 503 X\r\nAttempt-Id: r.0\r\nDraining: true\r\nRetry-After: 9\r\nSnapshots-Held: 7\r\n"
+	const jsonRefusal = "Content-Length: 19\r\n\r\n" + `{"kind":"draining"}`
+	const chunks = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+	for _, line := range malformedLines {
+		checkMalformedAnswer(t, "HTTP/1.1 200 X\r\n"+line+"\r\n"+jsonLoad)
+		checkMalformedAnswer(t, "HTTP/1.1 200 X\r\nX-Note: a\r\n"+line+"\r\n"+jsonLoad)
+		checkMalformedAnswer(t, refusal+line+"\r\n"+jsonRefusal)
+		checkMalformedAnswer(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 X\r\n"+jsonLoad)
+		checkMalformedAnswer(t, chunks+line+"\r\n\r\n")
+		checkMalformedAnswer(t, chunks+"X-Note: a\r\n"+line+"\r\n\r\n")
+	}
+}
