dialer: clients that read with net/http reject malformed field names too

Seen: a page of the store, a value of the configuration service, and what a VM answers to status, timeline and ticket calls was used though a field name in its head had a blank, with any body that such a line framed.

Cause: net/http takes blanks in field names.

Change: StrictTransport rejects such answers before anything reads them, and closes the idle connections.

--- a/caller/client.go
+++ b/caller/client.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/parser"
 	"github.com/pistachiogap/pistachiogap/server"
@@ -37,7 +38,7 @@
 		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
 	}
 	t := &http.Transport{DialContext: d.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
-	return &Client{&http.Client{Transport: t}}
+	return &Client{&http.Client{Transport: dialer.StrictTransport{Transport: t}}}
 }
 
 // RefusalError is the error for a request that the tier refused.
--- a/dialer/doc.go
+++ b/dialer/doc.go
@@ -1,3 +1,3 @@
 // Package dialer keeps the connections of a VM to searchers within their budgets, exchanges requests and answers
-// on them, and closes connections on which a searcher stays silent.
+// on them, rejects answers with a malformed head, and closes connections on which a searcher stays silent.
 package dialer
--- a/watcher/client.go
+++ b/watcher/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/pistachiogap/pistachiogap/configurer"
+	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/parser"
 )
@@ -74,7 +75,7 @@
 // NewClient returns a Client of the platform at the address. onCall is called before each request to the platform.
 func NewClient(addr netip.AddrPort, onCall func()) *Client {
 	t := &http.Transport{MaxIdleConnsPerHost: idleConnsPerHost, IdleConnTimeout: time.Minute}
-	return &Client{base: "http://" + addr.String(), client: &http.Client{Transport: t}, onCall: onCall}
+	return &Client{base: "http://" + addr.String(), client: &http.Client{Transport: dialer.StrictTransport{Transport: t}}, onCall: onCall}
 }
 
 // Directory returns the directory. If wait is set, the platform answers once the revision of the directory is later
