dialer: the error of a malformed head keeps its line

Seen: a data race in one run of go test -race ./... on (TestCallersGetNoAnswerWithoutAFinalStatus/001); a log line could name bytes of another exchange as the cause of a failed attempt. No caller's answer was touched.

Evidence: TestErrorOfAMalformedHeadKeepsItsLine failed before, without the race detector (the line became the next bytes).

Change: the error holds a copy of at most 80 bytes.

--- a/dialer/head.go
+++ b/dialer/head.go
@@ -13,20 +13,25 @@
 const (
 	lineEnd = "\r\n"
 	headEnd = lineEnd + lineEnd
+
+	maxErrorLine = 80 // bytes
 )
 
 // headError reports a head that is not that of an answer. Nothing is concluded from such an answer: neither whose it is
 // nor whether the request ran.
 type headError struct {
 	problem string
-	line    []byte
+	line    string // its first maxErrorLine bytes
 }
 
-// Error implements error.
-func (e *headError) Error() string {
-	return fmt.Sprintf("malformed head: %s: %.80q", e.problem, e.line)
+// newHeadError copies the line, which may lie in a buffer that is used again.
+func newHeadError(problem string, line []byte) *headError {
+	return &headError{problem, string(line[:min(len(line), maxErrorLine)])}
 }
 
+// Error implements error.
+func (e *headError) Error() string { return fmt.Sprintf("malformed head: %s: %q", e.problem, e.line) }
+
 // readAnswer reads one answer after any informational ones, whose heads it discards. The library reads a status of 000
 // as 200, and takes blanks in the names of fields, so heads and trailers are checked before the library sees them.
 func readAnswer(r *bufio.Reader, res *fasthttp.Response, maxBody int) error {
@@ -106,9 +111,9 @@
 	status, ok := parseStatus(line)
 	switch {
 	case !ok:
-		return 0, &headError{"no status of 100 to 999", line}
+		return 0, newHeadError("no status of 100 to 999", line)
 	case status == http.StatusSwitchingProtocols:
-		return 0, &headError{"another protocol, for which no request asks", line}
+		return 0, newHeadError("another protocol, for which no request asks", line)
 	}
 	return status, checkFields(fields)
 }
@@ -118,7 +123,7 @@
 func checkFields(lines []byte) error {
 	for line := range bytes.Lines(bytes.TrimSuffix(lines, []byte(lineEnd))) {
 		if name, _, ok := bytes.Cut(line, []byte(":")); !ok || !isToken(name) {
-			return &headError{"field name is not a token", line}
+			return newHeadError("field name is not a token", line)
 		}
 	}
 	return nil
--- a/dialer/head_test.go
+++ b/dialer/head_test.go
@@ -165,6 +165,23 @@
 	"X\x00Note: b", "X\x01Note: b", "X\x1fNote: b", "X\x7fNote: b", "X\rNote: b", "X-Note\r: b", "\x00: b", "nothing",
 }
 
+// Guards against logs that name bytes of another exchange as the cause: buffers of readers are used again.
+func TestErrorOfAMalformedHeadKeepsItsLine(t *testing.T) {
+	for _, answer := range []string{"HTTP/1.1 000 X\r\n" + jsonLoad, "HTTP/1.1 200 X\r\nX Note: b\r\n" + jsonLoad} {
+		r := bufio.NewReaderSize(strings.NewReader(answer), readBufferSize)
+		err := readAnswer(r, &fasthttp.Response{}, MaxPartBytes)
+		if err == nil {
+			t.Fatalf("answer %q was read without an error", answer)
+		}
+		before := err.Error()
+		r.Reset(strings.NewReader(strings.Repeat("y", len(answer))))
+		_, _ = r.Peek(1)
+		if after := err.Error(); after != before {
+			t.Errorf("the error %q became %q when the buffer was used again", before, after)
+		}
+	}
+}
+
 // Guards against answers in whose head a field name is no token: such a line may give another body, attempt or refusal
 // than the searcher meant, and proves that bytes are broken.
 func TestAnswersWithAMalformedFieldNameAreCorrupt(t *testing.T) {
--- a/dialer/transport.go
+++ b/dialer/transport.go
@@ -16,7 +16,7 @@
 		if !isToken(name) {
 			_ = res.Body.Close()
 			t.CloseIdleConnections()
-			return nil, &headError{"field name is not a token", []byte(name)}
+			return nil, newHeadError("field name is not a token", []byte(name))
 		}
 	}
 	return res, nil
