dialer: informational answers are checked and bounded by the library's rules again

Memory was bounded throughout. Found by the times of the test of answers without end, and by a fuzz target.

Change: the library reads each head after its check, informational ones too, and at most 100 of these.

--- a/dialer/head.go
+++ b/dialer/head.go
@@ -14,9 +14,13 @@
 	lineEnd = "\r\n"
 	headEnd = lineEnd + lineEnd
 
-	maxErrorLine = 80 // bytes
+	maxErrorLine     = 80 // bytes
+	maxInformational = 100
 )
 
+// errTooManyInformational reports that no answer came after maxInformational informational ones.
+var errTooManyInformational = errors.New("too many informational answers")
+
 // headError reports a head that is not that of an answer. Nothing is concluded from such an answer: neither whose it is
 // nor whether the request ran.
 type headError struct {
@@ -32,16 +36,13 @@
 // Error implements error.
 func (e *headError) Error() string { return fmt.Sprintf("malformed head: %s: %q", e.problem, e.line) }
 
-// readAnswer reads one answer after any informational ones, whose heads it discards. The library reads a status of 000
+// readAnswer reads one answer after any informational ones, which it drops. The library reads a status of 000
 // as 200, and takes blanks in the names of fields, so heads and trailers are checked before the library sees them.
 func readAnswer(r *bufio.Reader, res *fasthttp.Response, maxBody int) error {
-	status, err := discardInformational(r)
+	status, err := readFinalHead(r, &res.Header)
 	if err != nil {
 		return err
 	}
-	if err := res.Header.Read(r); err != nil {
-		return err
-	}
 	if res.SkipBody || status == http.StatusNoContent || status == http.StatusNotModified {
 		return nil
 	}
@@ -60,20 +61,25 @@
 // lengthOfChunked is what the library returns as the length of a chunked body.
 const lengthOfChunked = -1
 
-// discardInformational checks the heads up to the first that is not informational, and returns the status of that one,
-// which it leaves in the reader.
-func discardInformational(r *bufio.Reader) (status int, err error) {
-	for {
+// readFinalHead reads heads up to the first that is not informational, and returns its status.
+func readFinalHead(r *bufio.Reader, h *fasthttp.ResponseHeader) (status int, err error) {
+	for range 1 + maxInformational {
 		head, err := peekHead(r)
 		if err != nil {
 			return 0, err
 		}
 		status, err := parseHead(head)
-		if err != nil || status >= http.StatusOK {
-			return status, err
+		if err != nil {
+			return 0, err
+		}
+		if err := h.Read(r); err != nil {
+			return 0, err
+		}
+		if status >= http.StatusOK {
+			return status, nil
 		}
-		_, _ = r.Discard(len(head))
 	}
+	return 0, errTooManyInformational
 }
 
 // checkTrailer checks the fields after a chunked body, if there are any, and leaves them in the reader.
--- a/dialer/head_test.go
+++ b/dialer/head_test.go
@@ -125,6 +125,20 @@
 	}
 }
 
+// Whatever readAnswer takes for an answer must be one for the library too, and the same.
+func FuzzAnswersAreReadAsByTheLibrary(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	f.Add([]byte("\r\nHTTP/1.1 200\nA: b\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Note: a\r\n\r\nmore"))
+	f.Add([]byte(" 100 \r\n\r\nHTTP/1.1 200 OK\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 103 X\r\nX-Note: a\x00b\r\n\r\nHTTP/1.1 200 OK\r\n\r\nok"))
+	f.Add([]byte("HTTP/1.1 000 X\r\nX Note: b\r\nX-Note : b\r\n X: y\r\n\r\nok"))
+	f.Fuzz(func(t *testing.T, answer []byte) {
+		if want, got := readBoth(t, string(answer), false); got != "error" && got != want {
+			t.Errorf("read as %s; the library reads %s", got, want)
+		}
+	})
+}
+
 // BenchmarkReadAnswer reads one answer after the other with the library alone and with the checks of readAnswer.
 func BenchmarkReadAnswer(b *testing.B) {
 	const fields = "HTTP/1.1 200 OK\r\nDate: Sun, 06 Dec 2026 00:00:00 GMT\r\nX-Attempt-Id: 9c41d07be2a35f68\r\n" +
@@ -158,6 +172,17 @@
 	}
 }
 
+// Guards against informational answers without end, which would keep a connection and a processor busy to the deadline.
+func TestInformationalAnswersAreBounded(t *testing.T) {
+	const informational, answer = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+	for n, want := range map[int]bool{0: true, 1: true, maxInformational: true, maxInformational + 1: false} {
+		_, got := readBoth(t, strings.Repeat(informational, n)+answer, false)
+		if read := got != "error"; read != want {
+			t.Errorf("answer after %d informational ones: read %t, want %t", n, read, want)
+		}
+	}
+}
+
 // malformedLines are header lines whose field name has a blank or a control byte, or is empty.
 var malformedLines = []string{
 	"X Note: b", "X-Note : b", " X-Note: b", "\tX-Note: b", "X-Note\t: b", "X\tNote: b", " : b", ": b", "X Note : b", "Attempt-Id : r.0", "Draining : true",
