--- a/dialer/head.go
+++ b/dialer/head.go
@@ -14,8 +14,9 @@
 	lineEnd = "\r\n"
 	headEnd = lineEnd + lineEnd
 
-	maxErrorLine     = 80 // bytes
-	maxInformational = 100
+	maxErrorLine     = 80  // bytes
+	maxInformational = 100 // heads before that of the answer
+	lengthOfChunked  = -1  // which the library returns for a chunked body
 )
 
 // errTooManyInformational reports that no answer came after maxInformational informational ones.
@@ -58,9 +59,6 @@
 	return res.Header.ReadTrailer(r)
 }
 
-// lengthOfChunked is what the library returns as the length of a chunked body.
-const lengthOfChunked = -1
-
 // readFinalHead reads heads up to the first that is not informational, and returns its status.
 func readFinalHead(r *bufio.Reader, h *fasthttp.ResponseHeader) (status int, err error) {
 	for range 1 + maxInformational {
--- a/dialer/head_test.go
+++ b/dialer/head_test.go
@@ -43,17 +43,20 @@
 	}
 }
 
-// jsonLoad is a body that the load endpoint may answer, and that a call may be answered with too.
-const jsonLoad = "Content-Length: 62\r\n\r\n" + `{"in-flight":0,"slots":1,"draining":false,"snapshots-held":{}}`
+// loadBody is what the load endpoint may answer. A call may be answered with it too.
+const loadBody = `{"in-flight":0,"slots":1,"draining":false,"snapshots-held":{}}`
+
+// framedLoad is the end of a head that gives the length of loadBody, and the body.
+var framedLoad = fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(loadBody), loadBody)
 
 // Guards against answers whose status is none that an answer can have: the library reads 000 as 200.
 func TestAnswersWithoutAFinalStatusAreCorrupt(t *testing.T) {
 	for _, status := range []string{"000", "001", "099", "101", "20", "2000", "+20", "2x0", "", "\x00\x00\x00"} {
-		checkMalformedAnswer(t, "HTTP/1.1 "+status+" X\r\n"+jsonLoad)
-		checkMalformedAnswer(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+" X\r\n"+jsonLoad)
+		checkMalformedAnswer(t, "HTTP/1.1 "+status+" X\r\n"+framedLoad)
+		checkMalformedAnswer(t, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 "+status+" X\r\n"+framedLoad)
 	}
-	checkMalformedAnswer(t, "\r\nHTTP/1.1 000 X\r\n"+jsonLoad)
-	checkMalformedAnswer(t, "HTTP/1.1 000\r\n"+jsonLoad)
+	checkMalformedAnswer(t, "\r\nHTTP/1.1 000 X\r\n"+framedLoad)
+	checkMalformedAnswer(t, "HTTP/1.1 000\r\n"+framedLoad)
 }
 
 // Answers of unusual but sound forms must stay usable.
@@ -68,11 +71,11 @@
 			for i := range head { // one byte a segment
 				_, _ = io.WriteString(c, head[i:i+1])
 			}
-			_, err := io.WriteString(c, jsonLoad)
+			_, err := io.WriteString(c, framedLoad)
 			return err == nil
 		})
 		d := newTestDialer(t, 1)
-		if r := d.Do(t.Context(), call(s)); r.Fault != gatherer.FaultNone || len(r.Body) != 62 {
+		if r := d.Do(t.Context(), call(s)); r.Fault != gatherer.FaultNone || string(r.Body) != loadBody {
 			t.Errorf("head %q: fault %s (%v) with body %q, want none", head, r.Fault, r.Err, r.Body)
 		}
 		if _, err := d.Ping(t.Context(), s.addr, time.Minute); err != nil {
@@ -183,16 +186,9 @@
 	}
 }
 
-// malformedLines are header lines whose field name has a blank or a control byte, or is empty.
-var malformedLines = []string{
-	"X Note: b", "X-Note : b", " X-Note: b", "\tX-Note: b", "X-Note\t: b", "X\tNote: b", " : b", ": b", "X Note : b", "Attempt-Id : r.0", "Draining : true",
-	"Content-Length : 3", "Transfer-Encoding : chunked", "Connection : close", "X-Note: a\nX Note: b", "X-Note: a\n\nX-Note: b",
-	"X\x00Note: b", "X\x01Note: b", "X\x1fNote: b", "X\x7fNote: b", "X\rNote: b", "X-Note\r: b", "\x00: b", "nothing",
-}
-
 // Guards against logs that name bytes of another exchange as the cause: buffers of readers are used again.
 func TestErrorOfAMalformedHeadKeepsItsLine(t *testing.T) {
-	for _, answer := range []string{"HTTP/1.1 000 X\r\n" + jsonLoad, "HTTP/1.1 200 X\r\nX Note: b\r\n" + jsonLoad} {
+	for _, answer := range []string{"HTTP/1.1 000 X\r\n" + framedLoad, "HTTP/1.1 200 X\r\nX Note: b\r\n" + framedLoad} {
 		r := bufio.NewReaderSize(strings.NewReader(answer), readBufferSize)
 		err := readAnswer(r, &fasthttp.Response{}, MaxPartBytes)
 		if err == nil {
@@ -207,17 +203,24 @@
 	}
 }
 
+// malformedLines are header lines whose field name has a blank or a control byte, or is empty.
+var malformedLines = []string{
+	"X Note: b", "X-Note : b", " X-Note: b", "\tX-Note: b", "X-Note\t: b", "X\tNote: b", " : b", ": b", "X Note : b", "Attempt-Id : r.0", "Draining : true",
+	"Content-Length : 3", "Transfer-Encoding : chunked", "Connection : close", "X-Note: a\nX Note: b", "X-Note: a\n\nX-Note: b",
+	"X\x00Note: b", "X\x01Note: b", "X\x1fNote: b", "X\x7fNote: b", "X\rNote: b", "X-Note\r: b", "\x00: b", "nothing",
+}
+
 // Guards against answers in whose head a field name is no token: such a line may give another body, attempt or refusal
 // than the searcher meant, and proves that bytes are broken.
 func TestAnswersWithAMalformedFieldNameAreCorrupt(t *testing.T) {
 	const refusal = "HTTP/1.1 503 X\r\nAttempt-Id: r.0\r\nDraining: true\r\nRetry-After: 9\r\nSnapshots-Held: 7\r\n"
-	const jsonRefusal = "Content-Length: 19\r\n\r\n" + `{"kind":"draining"}`
+	const framedRefusal = "Content-Length: 19\r\n\r\n" + `{"kind":"draining"}`
 	const chunks = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
 	for _, line := range malformedLines {
-		checkMalformedAnswer(t, "HTTP/1.1 200 X\r\n"+line+"\r\n"+jsonLoad)
-		checkMalformedAnswer(t, "HTTP/1.1 200 X\r\nX-Note: a\r\n"+line+"\r\n"+jsonLoad)
-		checkMalformedAnswer(t, refusal+line+"\r\n"+jsonRefusal)
-		checkMalformedAnswer(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 X\r\n"+jsonLoad)
+		checkMalformedAnswer(t, "HTTP/1.1 200 X\r\n"+line+"\r\n"+framedLoad)
+		checkMalformedAnswer(t, "HTTP/1.1 200 X\r\nX-Note: a\r\n"+line+"\r\n"+framedLoad)
+		checkMalformedAnswer(t, refusal+line+"\r\n"+framedRefusal)
+		checkMalformedAnswer(t, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\nHTTP/1.1 200 X\r\n"+framedLoad)
 		checkMalformedAnswer(t, chunks+line+"\r\n\r\n")
 		checkMalformedAnswer(t, chunks+"X-Note: a\r\n"+line+"\r\n\r\n")
 	}
