dialer: a malformed head is no lost connection

Callers could see: a sound request withheld. A searcher that sent a malformed head and closed the connection was counted as lost or as corrupt, by whether the close was noticed in time; by the code, two lost connections beside live searchers make a request of the own protocol count as one that crashes searchers (scatterer/diagnose.go).

Cause: the failure of an exchange was judged by the state of the connection alone.

Change: an error of a malformed head is corrupt whatever becomes of the connection. A head that ends early is still lost, as are errors that only the library finds.

The benchmark uses the names of the own protocol; a comment lost a figure of speech.

--- a/dialer/check.go
+++ b/dialer/check.go
@@ -40,7 +40,7 @@
 	req.Header.SetUserAgent(userAgent)
 	sent := d.now()
 	if silent, err := c.exchange(ctx, req, res, 0, MaxAnswerBytes); err != nil {
-		d.handleFailure(ctx, p, c, sent, silent)
+		d.handleFailure(ctx, p, c, sent, silent, err)
 		return Load{}, err
 	}
 	d.returnConn(p, c, res)
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -163,7 +163,7 @@
 	res.SkipBody = req.Header.IsHead()
 	sent := d.now()
 	if silent, err := c.exchange(ctx, req, res, call.Linger, call.maxBodyBytes()); err != nil {
-		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent), Err: err}
+		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Err: err}
 	}
 	call.onNewConn = c.isNew()
 	r := d.decode(res, &call)
@@ -212,9 +212,10 @@
 
 // handleFailure closes the connection of a failed exchange and returns the fault.
 // silent means that no byte of an answer came. A searcher that crashes may have sent a part of its answer, so a connection
-// that ends in an answer is lost like one that ends before it.
-func (d *Dialer) handleFailure(ctx context.Context, p *pool, c *conn, sent time.Time, silent bool) gatherer.Fault {
-	if !silent && (ctx.Err() != nil || !c.hasEnded()) {
+// that ends in an answer is lost like one that ends before it, unless the answer was malformed before the end.
+func (d *Dialer) handleFailure(ctx context.Context, p *pool, c *conn, sent time.Time, silent bool, err error) gatherer.Fault {
+	var malformed *headError
+	if errors.As(err, &malformed) || (!silent && (ctx.Err() != nil || !c.hasEnded())) {
 		p.retire(c, false, time.Time{})
 		return gatherer.FaultCorrupt
 	}
--- a/dialer/head.go
+++ b/dialer/head.go
@@ -19,9 +19,6 @@
 	lengthOfChunked  = -1  // which the library returns for a chunked body
 )
 
-// errTooManyInformational reports that no answer came after maxInformational informational ones.
-var errTooManyInformational = errors.New("too many informational answers")
-
 // headError reports a head that is not that of an answer. Nothing is concluded from such an answer: neither whose it is
 // nor whether the request ran.
 type headError struct {
@@ -77,7 +74,7 @@
 			return status, nil
 		}
 	}
-	return 0, errTooManyInformational
+	return 0, newHeadError("too many informational answers", nil)
 }
 
 // checkTrailer checks the fields after a chunked body, if there are any, and leaves them in the reader.
--- a/dialer/head_test.go
+++ b/dialer/head_test.go
@@ -15,12 +15,19 @@
 	"github.com/pistachiogap/pistachiogap/gatherer"
 )
 
-// checkMalformedAnswer checks that an answer to a call, or to a ping, is not used and costs its connection.
+// checkMalformedAnswer checks that an answer to a call, or to a ping, is not used and costs its connection, whether the
+// searcher keeps the connection open or closes it.
 func checkMalformedAnswer(t *testing.T, answer string) {
+	t.Helper()
+	checkMalformed(t, answer, false)
+	checkMalformed(t, answer, true)
+}
+
+func checkMalformed(t *testing.T, answer string, closes bool) {
 	t.Helper()
 	s := startSearcher(t, func(c net.Conn, _ int64) bool {
 		_, err := io.WriteString(c, answer)
-		return err == nil
+		return err == nil && !closes
 	})
 	d := newTestDialer(t, 1)
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -30,10 +37,10 @@
 		t.Fatalf("answer %q: more bytes were waited for", answer)
 	}
 	if r.Fault != gatherer.FaultCorrupt || r.Err == nil {
-		t.Errorf("answer %q: fault %s with error %v, want corrupt with the cause", answer, r.Fault, r.Err)
+		t.Errorf("answer %q, closed %t: fault %s with error %v, want corrupt with the cause", answer, closes, r.Fault, r.Err)
 	}
 	if r.Body != nil || r.Draining || r.Held != nil || r.RetryAfter > 0 {
-		t.Errorf("answer %q: something of it is believed: %+v", answer, r)
+		t.Errorf("answer %q: something of it is used: %+v", answer, r)
 	}
 	if _, err := d.Ping(ctx, s.addr, time.Minute); err == nil {
 		t.Errorf("answer %q: counts as one of the load endpoint", answer)
@@ -144,8 +151,8 @@
 
 // BenchmarkReadAnswer reads one answer after the other with the library alone and with the checks of readAnswer.
 func BenchmarkReadAnswer(b *testing.B) {
-	const fields = "HTTP/1.1 200 OK\r\nDate: Sun, 06 Dec 2026 00:00:00 GMT\r\nX-Attempt-Id: 9c41d07be2a35f68\r\n" +
-		"X-Server-Stamp: 3e1b.07.5a2.600.0.c9f2a4d1\r\nKeep-Alive: timeout=5\r\n"
+	const fields = "HTTP/1.1 200 OK\r\nDate: Sun, 06 Dec 2026 00:00:00 GMT\r\nAttempt-Id: 9c41d07be2a35f68.0\r\n" +
+		"Content-Check: 0123456789abcdef\r\nKeep-Alive: timeout=5\r\n"
 	record := strings.Repeat("x", 400)
 	answers := map[string]string{
 		"length":  fields + "Content-Length: 400\r\n\r\n" + record,
