watcher: a watch that misses a change holds the VM for 3 s, not 35

Callers saw: VMs without `routing` kept an older configuration past the 7 s in which a change has to be in force.

Cause: the reader of the configuration service left its watch open for up to 35 s, and nothing else reads meanwhile. A watch that reads a stale copy of the service, or whose connection goes silent, does not tell of the change. In the scenario this depends on timing: each VM of its small world watches, and if all watches read between the publish and the platform's return to the newest values, the stand-in answers none of them for 25 s.

The stand-in is left as it is: it may well be what a stale copy behind a balancer does.

Change: a VM ends a watch after 3 s and reads without waiting. Fleets with `routing` watch the store, 1 s at a time, and are not touched.

--- a/watcher/client.go
+++ b/watcher/client.go
@@ -22,15 +22,15 @@
 const (
 	// CallTimeout bounds a call that does not watch.
 	CallTimeout = 2 * time.Second
-	// WatchTimeout is how long the configuration service may take to answer a watch. The call may take watchMargin
-	// longer. Watches of the platform's store wait for StoreWait.
-	WatchTimeout = 30 * time.Second
+	// WatchTimeout is how long a watch of the configuration service waits for a change. The VM then ends the call, since a
+	// stale copy of the service or a silent connection may never answer it; a change has to be in force within 7 s.
+	// Watches of the platform's store wait for StoreWait.
+	WatchTimeout = 3 * time.Second
 	maxBodyBytes = 4 << 20
 	maxKeyLength = 200
 	// HeaderRevision is the response header that holds the revision of a value.
 	HeaderRevision   = "Revision"
 	idleConnsPerHost = 2
-	watchMargin      = 5 * time.Second
 )
 
 // Directory lists the keys of the configuration service with their revisions.
@@ -79,12 +79,12 @@
 }
 
 // Directory returns the directory. If wait is set, the platform answers once the revision of the directory is later
-// than after, or when its own limit for a watch has passed.
+// than after, or when its own limit for a watch has passed. If that takes longer than WatchTimeout, Directory fails.
 func (c *Client) Directory(ctx context.Context, after modeler.Revision, wait bool) (Directory, error) {
 	path, timeout := "/v1/keys", CallTimeout
 	if wait {
 		path += "?after=" + strconv.FormatUint(uint64(after), 10)
-		timeout = WatchTimeout + watchMargin
+		timeout = WatchTimeout
 	}
 	body, _, err := c.get(ctx, path, timeout)
 	if err != nil {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -24,7 +24,7 @@
 func (w *Watcher) Run(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
-		// After a failure, the next read does not wait for a change.
+		// After a failure, which may be a watch without a change, the next read does not wait for one.
 		err := w.Refresh(ctx, w.IsReader() && failures == 0)
 		wait := time.Duration(0)
 		switch {
