server: a head over its limit is refused while it is received

Callers saw: a client that sent heads over the limit took the memory of the VM, until its process was killed. Cause: the server for routes read up to 256 KiB of a head and parsed it into a map before its handler checked the configured limit, 16 KiB. Change: callers' connections are under a Guard, which sees the bytes before the server's parser does. It refuses a head that exceeds the configured limit by more than 8 KiB with 431, or, while no configuration is in force, with 503 and Retry-After, because a legal request may then be refused for the fixed limit and 431 is not repeated.

--- a/runner/routing.go
+++ b/runner/routing.go
@@ -263,7 +263,8 @@
 	}
 	s := server.NewRouteServer(routes)
 	s.ConnState = v.idleConns.OnStateChange
-	return server.Serve(ctx, s, v.callerListener, v.cfg.Grace.Duration)
+	guard := &server.Guard{HeadLimit: routes.HeadLimit}
+	return server.Serve(ctx, s, v.callerListener, v.cfg.Grace.Duration, server.WithGuard(guard))
 }
 
 func (v *VM) serveReady(ctx context.Context) error {
--- a/runner/run.go
+++ b/runner/run.go
@@ -108,7 +108,9 @@
 		DeadlineMargin: v.cfg.ReturnMargin.Duration, OnDone: v.countSearch,
 	}
 	orders := &server.OrderHandler{Orderer: v.orderer, OnDone: v.countOrder}
-	return server.Serve(ctx, server.NewHTTPServer(server.NewCallersHandler(searches, orders, v.draining.Load)), v.callerListener, v.cfg.Grace.Duration)
+	s := server.NewHTTPServer(server.NewCallersHandler(searches, orders, v.draining.Load))
+	guard := &server.Guard{HeadLimit: server.FixedHeadLimit(server.MaxHeaderBytes)}
+	return server.Serve(ctx, s, v.callerListener, v.cfg.Grace.Duration, server.WithGuard(guard))
 }
 
 func (v *VM) servePeers(ctx context.Context) error {
--- a/server/constants.go
+++ b/server/constants.go
@@ -21,6 +21,13 @@
 	RouteHeaderBytes   = 256 << 10
 	RouteHeaderTimeout = 10 * time.Second
 
+	// A head is refused while it is received if it exceeds its limit by more than HeadSlackBytes: the bytes that are
+	// received with its end may belong to the body, and its limit counts no blanks between a name and its value.
+	HeadSlackBytes = 8 << 10
+	// After such a refusal the VM reads up to RefusalReadBytes more, for up to RefusalWait.
+	RefusalWait      = 500 * time.Millisecond
+	RefusalReadBytes = 256 << 10
+
 	// A request on a route has its deadline TimeoutMargin before the end of the route's timeout, or ReturnMargin before
 	// the end of the caller's time budget, whichever is earlier.
 	TimeoutMargin = 20 * time.Millisecond
--- a/server/forward.go
+++ b/server/forward.go
@@ -150,6 +150,19 @@
 	return path
 }
 
+// HeadLimit returns the limit in force for the heads of requests. While no configuration is in force, a larger head says
+// nothing of its request, which may come back.
+func (h *RouteHandler) HeadLimit() HeadLimit {
+	view := h.View()
+	switch {
+	case view == nil || !view.HasRoutes():
+		return HeadLimit{MaxHeaderBytes, refuser.Unconfigured}
+	case view.Limits == nil || view.Limits.HeaderBytes <= 0:
+		return HeadLimit{RouteHeaderBytes, refuser.HeaderTooLarge}
+	}
+	return HeadLimit{view.Limits.HeaderBytes, refuser.HeaderTooLarge}
+}
+
 // checkHeaders refuses a request whose request line and headers together are larger than the limit.
 func checkHeaders(w http.ResponseWriter, r *http.Request, limits *modeler.Limits) error {
 	if limits == nil || limits.HeaderBytes <= 0 {
--- a/server/refusal.go
+++ b/server/refusal.go
@@ -50,13 +50,23 @@
 	return RouteRetryAfter
 }
 
+// retryAfter returns the value of Retry-After for a refusal on a route, in seconds and perhaps with a fraction. There is
+// one only if the request was provably not run and may be sent again later.
+func retryAfter(r *refuser.Refusal) (string, bool) {
+	row := refuser.Lookup(r.Kind)
+	if row.RetryAfter == 0 || row.NotRun != refuser.Yes {
+		return "", false
+	}
+	return strconv.FormatFloat(routeRetryAfter(r).Seconds(), 'g', -1, 64), true
+}
+
 // refuse writes the refusal within err as plain text, with the status that its error kind has in refuser's table. The
 // answer has a Retry-After header, which may be a fraction of a second, only if the request was provably not run.
 func (h *RouteHandler) refuse(w http.ResponseWriter, err error, out *RouteResult) {
 	refusal := refuser.From(err)
 	row := refuser.Lookup(refusal.Kind)
-	if row.RetryAfter > 0 && row.NotRun == refuser.Yes {
-		w.Header().Set("Retry-After", strconv.FormatFloat(routeRetryAfter(refusal).Seconds(), 'g', -1, 64))
+	if after, ok := retryAfter(refusal); ok {
+		w.Header().Set("Retry-After", after)
 	}
 	out.Outcome, out.Detail, out.Status = string(refusal.Kind), refusal.Detail, row.Status
 	w.Header().Set("Content-Type", "text/plain")
--- a/server/serve.go
+++ b/server/serve.go
@@ -20,8 +20,7 @@
 }
 
 // NewRouteServer returns a server for callers of routes. Its limits of the size and the time of headers are fixed,
-// and meant to be wider than the configured ones. RouteHandler checks each request against the configured header
-// size.
+// and meant to be wider than the configured ones, which a Guard and RouteHandler keep.
 func NewRouteServer(h http.Handler) *http.Server {
 	s := NewHTTPServer(h)
 	s.MaxHeaderBytes = RouteHeaderBytes
@@ -38,9 +37,21 @@
 	return s
 }
 
+// ServeOption changes how Serve runs a server.
+type ServeOption func(*serveConfig)
+
+type serveConfig struct{ guard *Guard }
+
+// WithGuard puts the connections of the server under a guard.
+func WithGuard(g *Guard) ServeOption { return func(c *serveConfig) { c.guard = g } }
+
 // Serve runs a server until the context ends. It then answers the requests that were sent before, including those on
 // connections in the accept queue, and stops. Requests that are still open after the grace period are cut off.
-func Serve(ctx context.Context, s *http.Server, l net.Listener, grace time.Duration) error {
+func Serve(ctx context.Context, s *http.Server, l net.Listener, grace time.Duration, options ...ServeOption) error {
+	var cfg serveConfig
+	for _, o := range options {
+		o(&cfg)
+	}
 	conns := trackConns(s)
 	s.Handler = announceClose(ctx, s.Handler)
 	closeListener := func() { _ = l.Close() }
@@ -49,6 +60,10 @@
 		l = d
 		closeListener = func() { d.closeWhenEmpty(time.Now().Add(min(AcceptQueueLimit, grace))) }
 	}
+	if cfg.guard != nil {
+		cfg.guard.attach(s)
+		l = &guardedListener{l, cfg.guard}
+	}
 	drainDeadline := make(chan time.Time, 1)
 	stop := context.AfterFunc(ctx, func() {
 		drainDeadline <- time.Now().Add(grace)
