limiter, server: what callers' requests hold together is bounded

Callers saw: a crowd whose requests were each of legal size, of very many short header lines or with bodies that stopped short of their end, took all memory of a VM, and its process ended. Cause: limits held for each request alone; nothing bounded their sum. Headers take some 130 bytes of memory a line besides their own, a body was read into a buffer that grows by copies, and a refused request was kept until its connection had closed. Change: limiter.Intake counts what each connection holds of a request. Beyond it the connection that has held most for longest without finishing its request gives way: closed while it sends its head, refused with 429 while it sends its body, since a request whose body never ended has not run. Requests that are being served are never evicted; a new one is refused at once unless half of the sum leaves room for twice its size, so that large ones leave room for small ones. A body's buffer grows with what is received. What is held is released when a request is served or refused. A body that is too large or too slow is refused with the numbers of its own limit. A property test of the bound found that a connection could still grow after its end; mended.

--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -36,4 +36,9 @@
 	// Fractions of what a VM may send that hedges and probes on routes may use up. Retries may use all of it.
 	NonRetryShare = 0.7
 	NeededShare   = 0.95 // replaces NonRetryShare for hedges without which a request over many shards misses its least coverage
+
+	// RunningDivisor is the part of an Intake's bytes that requests may hold while they are being served. An eviction
+	// makes room for EvictionDivisor of the bound.
+	RunningDivisor  = 2
+	EvictionDivisor = 16
 )
--- /dev/null
+++ b/limiter/intake_test.go
@@ -0,0 +1,150 @@
+package limiter
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// intakeStart is when the connections of the tests open.
+var intakeStart = time.Unix(1_800_000_000, 0)
+
+// evictions counts the evictions of connections by their names.
+type evictions map[string]int
+
+func (e evictions) open(i *Intake, name string) *Holding {
+	return i.Open(intakeStart, func(Phase) { e[name]++ })
+}
+
+// The connection that has held most for longest must give way first, and those that hold little must stay.
+func TestIntakeEvictsWhoHeldMostForLongest(t *testing.T) {
+	i, evicted := NewIntake(1000), evictions{}
+	at := func(ms int) time.Time { return intakeStart.Add(time.Duration(ms) * time.Millisecond) }
+	small, old, large, late := evicted.open(i, "small"), evicted.open(i, "old"), evicted.open(i, "large"), evicted.open(i, "late")
+	small.GrowHead(at(0), 10)
+	old.GrowHead(at(0), 300)
+	large.GrowHead(at(800), 600)
+	if !late.GrowHead(at(1000), 150) {
+		t.Error("the connection that held least was told to stop")
+	}
+	if evicted["old"] != 1 || len(evicted) != 1 {
+		t.Errorf("evicted %v, want the old one", evicted)
+	}
+	if old.Grow(at(1001), 1) {
+		t.Error("an evicted connection may go on")
+	}
+	if conns, bytes := i.Load(); conns != 3 || bytes != 760 {
+		t.Errorf("%d connections hold %d bytes, want 3 and 760", conns, bytes)
+	}
+}
+
+// A request that is being served must never be evicted, however much it holds.
+func TestIntakeKeepsRequestsThatAreServed(t *testing.T) {
+	i, evicted := NewIntake(1000), evictions{}
+	served, reading := evicted.open(i, "served"), evicted.open(i, "reading")
+	served.Grow(intakeStart, 900)
+	if !served.StartRun(intakeStart) {
+		t.Fatal("the only request was refused")
+	}
+	if reading.Grow(intakeStart.Add(time.Second), 200) {
+		t.Error("a request that does not fit beside the one that is served may go on")
+	}
+	if evicted["served"] != 0 || evicted["reading"] != 1 {
+		t.Errorf("evicted %v, want the one that is read", evicted)
+	}
+}
+
+// Large requests must leave room for smaller ones, and a request must be served once nothing else is.
+func TestIntakeServesSmallRequestsBesideLargeOnes(t *testing.T) {
+	i, evicted := NewIntake(1000), evictions{}
+	var served []*Holding
+	for {
+		h := evicted.open(i, "large")
+		h.Grow(intakeStart, 100)
+		if !h.StartRun(intakeStart) {
+			h.Close()
+			break
+		}
+		served = append(served, h)
+	}
+	if len(served) == 0 {
+		t.Fatal("no large request was served")
+	}
+	small := evicted.open(i, "small")
+	small.Grow(intakeStart, 10)
+	if !small.StartRun(intakeStart) {
+		t.Errorf("a small request was refused beside %d large ones", len(served))
+	}
+	small.Finish(intakeStart)
+	for _, h := range served {
+		h.Finish(intakeStart)
+	}
+	largest := evicted.open(i, "largest")
+	largest.Grow(intakeStart, 999)
+	if !largest.StartRun(intakeStart) {
+		t.Error("a request was refused while none was served")
+	}
+}
+
+// Whatever connections do, those that may be evicted never hold more than the bound leaves, no connection is evicted
+// twice or while it is served, and nothing is left when all have closed.
+func TestIntakeKeepsItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const bound = 1000
+		i := NewIntake(bound)
+		now := intakeStart
+		phases := map[*Holding]Phase{}
+		evicted := map[*Holding]int{}
+		var all []*Holding
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
+			if len(all) == 0 || rapid.IntRange(0, 4).Draw(t, "open") == 0 {
+				var h *Holding
+				h = i.Open(now, func(p Phase) {
+					evicted[h]++
+					if p == PhaseRunning || phases[h] == PhaseRunning {
+						t.Fatal("a request that is served was evicted")
+					}
+				})
+				all = append(all, h)
+				continue
+			}
+			h := rapid.SampledFrom(all).Draw(t, "holding")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				if phases[h] != PhaseRunning {
+					phases[h] = PhaseBody
+					h.Grow(now, int64(rapid.IntRange(0, bound/2).Draw(t, "bytes")))
+				}
+			case 2:
+				if phases[h] == PhaseBody && h.StartRun(now) {
+					phases[h] = PhaseRunning
+				}
+			case 3:
+				phases[h] = PhaseIdle
+				h.Finish(now)
+			case 4:
+				phases[h] = PhaseUnused
+				h.Close()
+			}
+			if i.bytes > bound && i.bytes > i.running {
+				t.Fatalf("connections hold %d bytes, %d of them for requests that are served", i.bytes, i.running)
+			}
+		}
+		for h, n := range evicted {
+			if n > 1 {
+				t.Fatalf("a connection was evicted %d times", n)
+			}
+			if h.Grow(now, 1) {
+				t.Fatal("an evicted connection may go on")
+			}
+		}
+		for _, h := range all {
+			h.Close()
+		}
+		if conns, bytes := i.Load(); conns != 0 || bytes != 0 || i.running != 0 {
+			t.Fatalf("%d connections, %d bytes and %d for requests that are served are left", conns, bytes, i.running)
+		}
+	})
+}
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -13,6 +13,9 @@
 	DefaultReturnMargin = time.Millisecond
 	DefaultListPeriod   = 5 * time.Second
 	DefaultEvents       = 1 << 14
+	MinMemoryMB         = 32
+	DefaultMemoryMB     = 256
+	IntakeDivisor       = 8                // part of the memory that callers' requests may hold together while they are received and served
 	MinFleetSize        = 8                // smallest fleet size that sharerCount assumes
 	UnknownFleetSize    = 100              // assumed fleet size while the members may not all be known
 	LearnPeriod         = 2 * time.Second  // after this time from its start, a VM counts the members as known
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -96,6 +96,17 @@
 		"fleet", v.spenderCount(), "up-ms", time.Since(v.startedAt).Milliseconds())
 }
 
+// reportEvicted counts and logs the connections of callers that were closed because all together held too much.
+func (v *VM) reportEvicted() {
+	n := v.intake.TakeEvicted()
+	if n == 0 {
+		return
+	}
+	v.counter("callers.evicted").Inc(int64(n))
+	conns, bytes := v.intake.Load()
+	klog.InfoS("callers: connections evicted", "count", n, "open", conns, "held-bytes", bytes)
+}
+
 // reportOverload logs each service that became overloaded or recovered, and counts those that became overloaded.
 func (v *VM) reportOverload() {
 	view := v.view.Load()
@@ -187,6 +198,7 @@
 			v.warm(ctx)
 			v.reportOverload()
 			v.reportDenied()
+			v.reportEvicted()
 			v.reportEndedExclusions(time.Now())
 		case <-ctx.Done():
 			return ctx.Err()
@@ -263,7 +275,7 @@
 	}
 	s := server.NewRouteServer(routes)
 	s.ConnState = v.idleConns.OnStateChange
-	guard := &server.Guard{HeadLimit: routes.HeadLimit}
+	guard := &server.Guard{HeadLimit: routes.HeadLimit, Intake: v.intake}
 	return server.Serve(ctx, s, v.callerListener, v.cfg.Grace.Duration, server.WithGuard(guard))
 }
 
--- a/runner/run.go
+++ b/runner/run.go
@@ -109,7 +109,7 @@
 	}
 	orders := &server.OrderHandler{Orderer: v.orderer, OnDone: v.countOrder}
 	s := server.NewHTTPServer(server.NewCallersHandler(searches, orders, v.draining.Load))
-	guard := &server.Guard{HeadLimit: server.FixedHeadLimit(server.MaxHeaderBytes)}
+	guard := &server.Guard{HeadLimit: server.FixedHeadLimit(server.MaxHeaderBytes), Intake: v.intake}
 	return server.Serve(ctx, s, v.callerListener, v.cfg.Grace.Duration, server.WithGuard(guard))
 }
 
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -22,6 +22,11 @@
 	Sample float64 `json:"sample"` // from 0 to 1
 }
 
+// Resources holds what the VM's process may use.
+type Resources struct {
+	MemoryMB int `json:"memory-mb"` // in millions of bytes
+}
+
 // Settings holds the start-up settings of one VM.
 type Settings struct {
 	Name          modeler.VMName        `json:"name"`           // of this VM
@@ -40,6 +45,7 @@
 	ReturnMargin  modeler.Duration      `json:"return-margin"`   // subtracted from the time budget of a search
 	ListPeriod    modeler.Duration      `json:"list-period"`     // between two reads of the platform's list of VMs
 	Timeline      Timeline              `json:"timeline"`
+	Resources     Resources             `json:"resources"`
 	Routing       *Routing              `json:"routing"` // nil on a VM that serves searches and orders
 }
 
@@ -82,6 +88,9 @@
 	if s.Timeline.Events < 1 || s.Timeline.Events > MaxTimelineEvents {
 		p.Add("must be from 1 to 1048576", "timeline", "events")
 	}
+	if s.Resources.MemoryMB < MinMemoryMB {
+		p.Add("must be at least 32", "resources", "memory-mb")
+	}
 	if s.Timeline.Sample < 0 || s.Timeline.Sample > 1 {
 		p.Add("must be from 0 to 1", "timeline", "sample")
 	}
@@ -142,6 +151,9 @@
 	if s.Timeline == (Timeline{}) {
 		s.Timeline = Timeline{Events: DefaultEvents, Sample: 1}
 	}
+	if s.Resources.MemoryMB == 0 {
+		s.Resources.MemoryMB = DefaultMemoryMB
+	}
 	if !s.Advertise.IsValid() {
 		s.Advertise = s.Listen.Peers
 	}
@@ -154,6 +166,9 @@
 	}
 }
 
+// Bytes returns the memory that the process may use, in bytes.
+func (r Resources) Bytes() int64 { return int64(r.MemoryMB) * 1_000_000 }
+
 func (s *Settings) isRelay() bool { return s.Relay == nil || *s.Relay }
 
 func (s *Settings) keyBytes() [][]byte {
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -13,13 +13,14 @@
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
-// runUpkeep pings the searchers that this VM may call and trims connections once every UpkeepPeriod, and removes the
-// records of old tickets once every TicketSweepRounds periods.
+// runUpkeep pings the searchers that this VM may call, trims connections and reports evicted callers once every
+// UpkeepPeriod, and removes the records of old tickets once every TicketSweepRounds periods.
 func (v *VM) runUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
 		v.pingAll(ctx)
+		v.reportEvicted()
 		if round%TicketSweepRounds == 0 {
 			v.tickets.Sweep(time.Now())
 		}
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -83,6 +83,7 @@
 	listing         atomic.Pointer[modeler.Listing]  // the platform's latest list of VMs, if any
 	draining        atomic.Bool
 	stop            *server.Stop
+	intake          *limiter.Intake // of the callers' port
 	idleConns       server.IdleConns
 	storeLosses     storeLosses
 	shares          shareCache
@@ -171,6 +172,7 @@
 	v.observer = observer.NewObserver(v.observerOptions()...)
 	v.quarantine = observer.NewQuarantine()
 	v.admitter = limiter.NewAdmitter()
+	v.intake = limiter.NewIntake(v.cfg.Resources.Bytes() / IntakeDivisor)
 	v.dialer = dialer.NewDialer(local, v.dialerOptions()...)
 	v.scatterer = scatterer.NewScatterer(v.dialer, v.observer, v.quarantine, v.recorder,
 		append(v.scattererOptions(), v.mechanisms.Scatterer...)...)
--- a/server/callerconn.go
+++ b/server/callerconn.go
@@ -1,12 +1,14 @@
 package server
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/refuser"
 )
 
@@ -14,12 +16,13 @@
 type callerConn struct {
 	net.Conn
 	guard     *Guard
+	holding   *limiter.Holding
 	inHead    bool // the server reads the head of a request or waits for one
 	headBytes int  // received since then
 }
 
 // Read reads from the connection. If the head of a request is too large, it refuses the request and reports the end of
-// the connection.
+// the connection. It also reports the end if the connection is evicted.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if !c.inHead || n == 0 {
@@ -27,11 +30,35 @@
 	}
 	c.headBytes += n
 	limit := c.guard.HeadLimit()
-	if c.headBytes <= limit.Bytes+HeadSlackBytes {
-		return n, err
+	if c.headBytes > limit.Bytes+HeadSlackBytes {
+		c.refuse(refuser.New(limit.Kind, "the head of the request has more than %d bytes", limit.Bytes))
+		return 0, io.EOF
+	}
+	if !c.holding.GrowHead(time.Now(), headCost(b[:n])) {
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+// headCost returns how much memory the server needs for bytes of a head.
+func headCost(b []byte) int64 {
+	return int64(len(b) + HeaderLineBytes*bytes.Count(b, []byte{'\n'}))
+}
+
+// Close closes the connection.
+func (c *callerConn) Close() error {
+	c.holding.Close()
+	return c.Conn.Close()
+}
+
+// evict ends the connection in the phase. The handler still refuses a request whose body is being read.
+func (c *callerConn) evict(p limiter.Phase) {
+	if p != limiter.PhaseBody {
+		_ = c.Conn.Close()
+		return
 	}
-	c.refuse(refuser.New(limit.Kind, "the head of the request has more than %d bytes", limit.Bytes))
-	return 0, io.EOF
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(RefusalWait))
 }
 
 // CloseWrite closes the connection for writing, as the server does before it closes a connection with unread bytes.
@@ -47,8 +74,10 @@
 	switch s {
 	case http.StateActive:
 		c.inHead = false
+		c.holding.StartBody(time.Now())
 	case http.StateIdle:
 		c.inHead, c.headBytes = true, 0
+		c.holding.Finish(time.Now())
 	}
 }
 
--- a/server/constants.go
+++ b/server/constants.go
@@ -28,6 +28,10 @@
 	RefusalWait      = 500 * time.Millisecond
 	RefusalReadBytes = 256 << 10
 
+	// A line of a head counts as HeaderLineBytes, which the server's map of headers takes for it, besides its own bytes.
+	HeaderLineBytes = 128
+	FirstBodyBytes  = 4 << 10 // what is kept for a body at first; it doubles as the body is received
+
 	// A request on a route has its deadline TimeoutMargin before the end of the route's timeout, or ReturnMargin before
 	// the end of the caller's time budget, whichever is earlier.
 	TimeoutMargin = 20 * time.Millisecond
--- a/server/forward.go
+++ b/server/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -191,19 +190,10 @@
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
-	maxBytes, timeout := int64(MaxBodyBytes), BodyTimeout
-	if limits != nil {
-		maxBytes, timeout = limits.BodyBytes, max(timeout, limits.HeaderTimeout.Duration)
+	if limits == nil {
+		return receiveBody(w, r, MaxBodyBytes, BodyTimeout)
 	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
-	if err != nil {
-		w.Header().Set("Connection", "close")
-		return nil, bodyRefusal(err)
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
+	return receiveBody(w, r, limits.BodyBytes, max(BodyTimeout, limits.HeaderTimeout.Duration))
 }
 
 // run admits the request, sends it to searchers and writes the answer.
@@ -214,6 +204,9 @@
 	if !h.Stop.Admits(time.Now(), rr.route) {
 		return refuser.New(refuser.Draining, "this VM stops before it could answer")
 	}
+	if err := startRun(r); err != nil {
+		return err
+	}
 	admitter := h.admitter(rr)
 	// Requests on routes belong to no team. Those of priority 0 are urgent.
 	if !admitter.Admit("", rr.route.Priority == 0) {
--- a/server/guard.go
+++ b/server/guard.go
@@ -1,9 +1,12 @@
 package server
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"time"
 
+	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/refuser"
 )
 
@@ -17,6 +20,7 @@
 // which keeps a head of any size until its end.
 type Guard struct {
 	HeadLimit func() HeadLimit // the one in force
+	Intake    *limiter.Intake  // bounds what all connections hold together; nil if nothing does
 }
 
 // FixedHeadLimit returns a limit that never changes.
@@ -24,9 +28,16 @@
 	return func() HeadLimit { return HeadLimit{n, refuser.HeaderTooLarge} }
 }
 
-// attach makes the server report the states of its connections to the guard. Hooks that the server already has are still
-// called.
+// attach makes the server report the states of its connections and the ends of its requests to the guard. A ConnState
+// hook that the server already has is still called.
 func (g *Guard) attach(s *http.Server) {
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if c, ok := conn.(*callerConn); ok {
+			return context.WithValue(ctx, holdingKey{}, c.holding)
+		}
+		return ctx
+	}
+	s.Handler = releaseAfter(s.Handler)
 	hook := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c, ok := conn.(*callerConn); ok {
@@ -38,6 +49,45 @@
 	}
 }
 
+// open puts a new connection under the guard.
+func (g *Guard) open(conn net.Conn) *callerConn {
+	c := &callerConn{Conn: conn, guard: g, inHead: true}
+	if g.Intake != nil {
+		c.holding = g.Intake.Open(time.Now(), c.evict)
+	}
+	return c
+}
+
+// holdingKey is the key of the holding in the contexts of a connection's requests.
+type holdingKey struct{}
+
+// holdingOf returns what the connection of the request holds, or nil if it is under no guard.
+func holdingOf(r *http.Request) *limiter.Holding {
+	h, _ := r.Context().Value(holdingKey{}).(*limiter.Holding)
+	return h
+}
+
+// releaseAfter releases what a request holds as soon as it is served. The server itself keeps the request until it has
+// closed the connection.
+func releaseAfter(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h := holdingOf(r)
+		defer func() {
+			r.Header = nil
+			h.Release(time.Now())
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// startRun returns a refusal if the request may not be served beside those that are being served.
+func startRun(r *http.Request) error {
+	if holdingOf(r).StartRun(time.Now()) {
+		return nil
+	}
+	return refuser.New(refuser.Overloaded, "the requests that this VM serves leave no memory for it")
+}
+
 // guardedListener is a listener whose connections are under a guard.
 type guardedListener struct {
 	net.Listener
@@ -50,5 +100,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, guard: l.guard, inHead: true}, nil
+	return l.guard.open(conn), nil
 }
--- a/server/handler.go
+++ b/server/handler.go
@@ -6,11 +6,9 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"os"
 	"strconv"
 	"time"
 
-	"github.com/pkg/errors"
 	"k8s.io/klog/v2"
 
 	"github.com/pistachiogap/pistachiogap/dialer"
@@ -83,31 +81,18 @@
 	})
 }
 
-// limitBody reads the body of a request within a time limit and a size limit. If the body exceeds one of them, the
-// connection is closed. The time limit then stays in force, because the server may read on to find the end of the body.
+// limitBody reads the body of a request within a time limit and a size limit, and refuses requests that cannot be held.
 func limitBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(time.Now().Add(BodyTimeout))
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+		body, err := receiveBody(w, r, MaxBodyBytes, BodyTimeout)
+		if err == nil {
+			err = startRun(r)
+		}
 		if err != nil {
-			w.Header().Set("Connection", "close")
-			Refuse(w, r, bodyRefusal(err))
+			Refuse(w, r, err)
 			return
 		}
-		_ = control.SetReadDeadline(time.Time{})
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		next.ServeHTTP(w, r)
 	})
 }
-
-func bodyRefusal(err error) *refuser.Refusal {
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return refuser.New(refuser.BodyTooLarge, "body is larger than %d bytes", MaxBodyBytes)
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return refuser.New(refuser.BodyTimeout, "body did not arrive within %s", BodyTimeout)
-	}
-	return refuser.New(refuser.MalformedRequest, "body cannot be read: %v", err)
-}
--- a/server/order.go
+++ b/server/order.go
@@ -62,7 +62,7 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		return orderer.Submission{}, bodyRefusal(err)
+		return orderer.Submission{}, bodyRefusal(err, BodyTimeout)
 	}
 	if !json.Valid(body) {
 		return orderer.Submission{}, refuser.New(refuser.MalformedRequest, "order is not JSON")
--- a/server/search.go
+++ b/server/search.go
@@ -115,7 +115,7 @@
 	in.deadline = time.Now().Add(budget - h.DeadlineMargin)
 	in.body, err = io.ReadAll(r.Body)
 	if err != nil {
-		return in, bodyRefusal(err)
+		return in, bodyRefusal(err, BodyTimeout)
 	}
 	q, err := parser.DecodeStrict[Query](in.body)
 	if err != nil {
