limiter: callers' connections leave descriptors for searchers and the store

Callers saw: beside a crowd of connections on which nothing is sent an ordinary request was not answered, as long as the crowd stayed. Cause: callers' connections and those to searchers, the store and other VMs share the descriptors of the process, and nothing kept any for the others. Without 200 for files, three quarters of them bound the callers' connections. Beyond that the VM closes, in this order, connections that are to end anyway, those that never finished a request, those that wait for a next one, and those whose answer is being written, the oldest of each first; none whose request is being served. An evicted connection counts until it is closed.

--- a/limiter/intake.go
+++ b/limiter/intake.go
@@ -20,39 +20,46 @@
 	PhaseWriting              // the answer is being written
 )
 
-// Intake bounds what the callers' connections of a VM hold together, in bytes. When the bound is exceeded, connections
-// are evicted: the one that has held most for longest, without finishing its request, first. A connection whose request
-// is being served is never evicted; StartRun refuses requests instead.
+// Intake bounds how many callers' connections a VM has and what they hold together, in bytes. When a bound is exceeded,
+// connections are evicted. If they hold too much, the one that has held most for longest, without finishing its request,
+// gives way first; if there are too many, one that never finished a request. A connection whose request is being served
+// is never evicted; StartRun refuses requests instead.
 type Intake struct {
 	mu       sync.Mutex
 	maxBytes int64
+	maxConns int
 	bytes    int64 // held by all connections
 	running  int64 // held by those in PhaseRunning
 	evicted  int   // since the last TakeEvicted
 	holdings map[*Holding]struct{}
 }
 
-// NewIntake returns an intake for connections that together hold at most maxBytes.
-func NewIntake(maxBytes int64) *Intake {
-	return &Intake{maxBytes: maxBytes, holdings: map[*Holding]struct{}{}}
+// NewIntake returns an intake for at most maxConns connections, which together hold at most maxBytes.
+func NewIntake(maxBytes int64, maxConns int) *Intake {
+	return &Intake{maxBytes: maxBytes, maxConns: maxConns, holdings: map[*Holding]struct{}{}}
 }
 
 // Holding is what one connection holds. A nil Holding belongs to a connection without bounds.
 type Holding struct {
-	intake *Intake
-	evict  func(Phase) // called once, without the intake's lock, with the phase in which the connection is evicted
-	phase  Phase
-	since  time.Time // when the connection began its request or became idle
-	bytes  int64
-	gone   bool // closed or evicted
+	intake  *Intake
+	evict   func(refuse bool)
+	phase   Phase
+	since   time.Time // when the connection began its request or became idle
+	bytes   int64
+	evicted bool // what it held is no longer counted
+	closed  bool // it is no longer counted
 }
 
-// Open adds a connection. The caller must call Close at its end.
-func (i *Intake) Open(now time.Time, evict func(Phase)) *Holding {
+// Open adds a connection, and evicts others if there are too many. The caller must call Close at its end. When the
+// connection is evicted, evict is called without the intake's lock: with refuse if the request can still be refused,
+// otherwise to close the connection, perhaps later than with refuse.
+func (i *Intake) Open(now time.Time, evict func(refuse bool)) *Holding {
 	h := &Holding{intake: i, evict: evict, since: now}
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	i.holdings[h] = struct{}{}
+	victims := i.closeExcess(now)
+	i.mu.Unlock()
+	run(victims)
 	return h
 }
 
@@ -63,7 +70,7 @@
 	}
 	h.intake.mu.Lock()
 	defer h.intake.mu.Unlock()
-	h.drop()
+	h.close()
 }
 
 // GrowHead adds bytes that the connection holds of the head of a request, and reports whether it may go on; see Grow.
@@ -87,7 +94,7 @@
 func (h *Holding) grow(now time.Time, p Phase, n int64) bool {
 	i := h.intake
 	i.mu.Lock()
-	if h.gone {
+	if h.isOut() {
 		i.mu.Unlock()
 		return false
 	}
@@ -95,9 +102,9 @@
 	h.bytes += n
 	i.bytes += n
 	victims := i.evictExcess(now)
-	ok := !h.gone
+	ok := !h.isOut()
 	i.mu.Unlock()
-	evict(victims)
+	run(victims)
 	return ok
 }
 
@@ -111,7 +118,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	room := i.maxBytes/RunningDivisor - i.running
-	if h.gone || (i.running > 0 && h.bytes > room/2) {
+	if h.isOut() || (i.running > 0 && h.bytes > room/2) {
 		return false
 	}
 	h.set(PhaseRunning, now)
@@ -131,12 +138,11 @@
 	}
 	h.intake.mu.Lock()
 	defer h.intake.mu.Unlock()
-	if h.gone {
+	if h.isOut() {
 		return
 	}
+	h.clear()
 	h.set(p, now)
-	h.intake.bytes -= h.bytes
-	h.bytes = 0
 }
 
 // Load returns how many connections there are and how many bytes they hold.
@@ -155,6 +161,9 @@
 	return n
 }
 
+// isOut reports whether the connection is to end or has ended.
+func (h *Holding) isOut() bool { return h.evicted || h.closed }
+
 // set changes the phase. The age of a request counts from its first byte.
 func (h *Holding) set(p Phase, now time.Time) {
 	if h.phase == PhaseRunning && p != PhaseRunning {
@@ -166,77 +175,119 @@
 	h.phase = p
 }
 
-// evictExcess takes out holdings while all together are too large, and then some more, so that this is rare.
-func (i *Intake) evictExcess(now time.Time) []eviction {
+// clear makes the connection hold nothing.
+func (h *Holding) clear() {
+	if h.phase == PhaseRunning {
+		h.intake.running -= h.bytes
+	}
+	h.intake.bytes -= h.bytes
+	h.bytes = 0
+}
+
+// close takes the connection out of the intake.
+func (h *Holding) close() {
+	if h.closed {
+		return
+	}
+	h.clear()
+	h.closed = true
+	delete(h.intake.holdings, h)
+}
+
+// evictExcess evicts connections while all together hold too much, and then some more, so that this is rare.
+func (i *Intake) evictExcess(now time.Time) []func() {
 	if i.bytes <= i.maxBytes {
 		return nil
 	}
-	enough := i.maxBytes - i.maxBytes/EvictionDivisor
-	return i.evictUntil(func(h *Holding) float64 { return h.burden(now) }, func() bool { return i.bytes <= enough })
+	most := i.maxBytes - i.maxBytes/EvictionDivisor
+	var victims []func()
+	for _, h := range i.ranked(func(h *Holding) float64 { return h.burden(now) }) {
+		if i.bytes <= most {
+			break
+		}
+		victims = append(victims, h.takeBytes())
+	}
+	return victims
 }
 
-// burden is what a holding costs the others, in byte seconds, or 0 if it must not be evicted.
-func (h *Holding) burden(now time.Time) float64 {
-	switch h.phase {
-	case PhaseHead, PhaseBody:
-		return float64(h.bytes) * (now.Sub(h.since) + time.Millisecond).Seconds()
+// closeExcess closes connections while there are too many, and then some more.
+func (i *Intake) closeExcess(now time.Time) []func() {
+	if len(i.holdings) <= i.maxConns {
+		return nil
 	}
-	return 0
+	most := i.maxConns - i.maxConns/EvictionDivisor
+	var victims []func()
+	for _, h := range i.ranked(func(h *Holding) float64 { return h.idleness(now) }) {
+		if len(i.holdings) <= most {
+			break
+		}
+		victims = append(victims, h.takeConn())
+	}
+	return victims
 }
 
-// eviction is a holding that was taken out and the phase that it was in.
-type eviction struct {
-	holding *Holding
-	phase   Phase
+// takeBytes evicts the connection for what it holds, and returns what is left to do without the lock.
+func (h *Holding) takeBytes() func() {
+	h.clear()
+	h.evicted = true
+	h.intake.evicted++
+	refuse := h.phase == PhaseBody
+	return func() { h.evict(refuse) }
 }
 
-func evict(victims []eviction) {
-	for _, e := range victims {
-		e.holding.evict(e.phase)
-	}
+// takeConn evicts the connection for its place, and returns what is left to do without the lock.
+func (h *Holding) takeConn() func() {
+	h.close()
+	h.intake.evicted++
+	return func() { h.evict(false) }
 }
 
-// evictUntil takes out holdings in descending order of their rank until enough are out. Those of rank 0 stay.
-func (i *Intake) evictUntil(rank func(*Holding) float64, enough func() bool) []eviction {
-	type ranked struct {
-		holding *Holding
-		rank    float64
+func run(steps []func()) {
+	for _, step := range steps {
+		step()
 	}
-	var order []ranked
+}
+
+// ranked returns the connections in descending order of their rank, without those of rank 0.
+func (i *Intake) ranked(rank func(*Holding) float64) []*Holding {
+	ranks := make(map[*Holding]float64, len(i.holdings))
+	var order []*Holding
 	for h := range i.holdings {
 		if n := rank(h); n > 0 {
-			order = append(order, ranked{h, n})
-		}
-	}
-	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
-	var victims []eviction
-	for _, r := range order {
-		if enough() {
-			break
+			ranks[h] = n
+			order = append(order, h)
 		}
-		victims = append(victims, r.holding.remove())
 	}
-	return victims
+	slices.SortFunc(order, func(a, b *Holding) int { return cmp.Compare(ranks[b], ranks[a]) })
+	return order
 }
 
-// remove takes out a holding that is to be evicted.
-func (h *Holding) remove() eviction {
-	h.drop()
-	h.intake.evicted++
-	return eviction{h, h.phase}
-}
+// age returns for how long the connection has had its request or been idle, in seconds, and never 0.
+func (h *Holding) age(now time.Time) float64 { return (now.Sub(h.since) + time.Millisecond).Seconds() }
 
-// drop takes a holding out of the intake's sums.
-func (h *Holding) drop() {
-	i := h.intake
-	if h.gone {
-		return
+// burden returns what the connection costs the others, in byte seconds, or 0 if it must not be evicted for that.
+func (h *Holding) burden(now time.Time) float64 {
+	switch h.phase {
+	case PhaseHead, PhaseBody:
+		return float64(h.bytes) * h.age(now)
 	}
-	h.gone = true
-	if h.phase == PhaseRunning {
-		i.running -= h.bytes
+	return 0
+}
+
+// idleness ranks connections by how little is lost with them: those that are to end anyway, those that never finished a
+// request, those that wait for the next one, and those whose answer is not read. It is 0 for a connection whose request
+// is being served.
+func (h *Holding) idleness(now time.Time) float64 {
+	const step = 1e6 // seconds; more than any connection's age
+	switch {
+	case h.evicted:
+		return 4*step + h.age(now)
+	case h.phase == PhaseRunning:
+		return 0
+	case h.phase == PhaseIdle:
+		return 2*step + h.age(now)
+	case h.phase == PhaseWriting:
+		return step + h.age(now)
 	}
-	i.bytes -= h.bytes
-	h.bytes = 0
-	delete(i.holdings, h)
+	return 3*step + h.age(now)
 }
--- a/limiter/intake_test.go
+++ b/limiter/intake_test.go
@@ -14,12 +14,12 @@
 type evictions map[string]int
 
 func (e evictions) open(i *Intake, name string) *Holding {
-	return i.Open(intakeStart, func(Phase) { e[name]++ })
+	return i.Open(intakeStart, func(bool) { e[name]++ })
 }
 
 // The connection that has held most for longest must give way first, and those that hold little must stay.
 func TestIntakeEvictsWhoHeldMostForLongest(t *testing.T) {
-	i, evicted := NewIntake(1000), evictions{}
+	i, evicted := NewIntake(1000, 100), evictions{}
 	at := func(ms int) time.Time { return intakeStart.Add(time.Duration(ms) * time.Millisecond) }
 	small, old, large, late := evicted.open(i, "small"), evicted.open(i, "old"), evicted.open(i, "large"), evicted.open(i, "late")
 	small.GrowHead(at(0), 10)
@@ -34,14 +34,18 @@
 	if old.Grow(at(1001), 1) {
 		t.Error("an evicted connection may go on")
 	}
-	if conns, bytes := i.Load(); conns != 3 || bytes != 760 {
-		t.Errorf("%d connections hold %d bytes, want 3 and 760", conns, bytes)
+	if conns, bytes := i.Load(); conns != 4 || bytes != 760 {
+		t.Errorf("%d connections hold %d bytes, want 4 and 760: an evicted one counts until it has closed", conns, bytes)
+	}
+	old.Close()
+	if conns, _ := i.Load(); conns != 3 {
+		t.Errorf("%d connections are open, want 3", conns)
 	}
 }
 
 // A request that is being served must never be evicted, however much it holds.
 func TestIntakeKeepsRequestsThatAreServed(t *testing.T) {
-	i, evicted := NewIntake(1000), evictions{}
+	i, evicted := NewIntake(1000, 100), evictions{}
 	served, reading := evicted.open(i, "served"), evicted.open(i, "reading")
 	served.Grow(intakeStart, 900)
 	if !served.StartRun(intakeStart) {
@@ -57,7 +61,7 @@
 
 // Large requests must leave room for smaller ones, and a request must be served once nothing else is.
 func TestIntakeServesSmallRequestsBesideLargeOnes(t *testing.T) {
-	i, evicted := NewIntake(1000), evictions{}
+	i, evicted := NewIntake(1000, 100), evictions{}
 	var served []*Holding
 	for {
 		h := evicted.open(i, "large")
@@ -87,12 +91,48 @@
 	}
 }
 
+// With too many connections, those that never finished a request must give way first, the oldest of them before others,
+// and one whose request is being served never.
+func TestIntakeClosesUnusedConnectionsFirst(t *testing.T) {
+	const most = 10
+	i, evicted := NewIntake(1000, most), evictions{}
+	served, idle, old := evicted.open(i, "served"), evicted.open(i, "idle"), evicted.open(i, "old")
+	served.StartBody(intakeStart)
+	served.StartRun(intakeStart)
+	idle.Finish(intakeStart)
+	old.GrowHead(intakeStart, 1)
+	for n := range 2 * most {
+		i.Open(intakeStart.Add(time.Duration(n)*time.Second), func(bool) { evicted["new"]++ })
+		if conns, _ := i.Load(); conns > most {
+			t.Fatalf("%d connections are open, want at most %d", conns, most)
+		}
+	}
+	if evicted["old"] != 1 || evicted["idle"]+evicted["served"] != 0 {
+		t.Errorf("evicted %v, want no idle or served one", evicted)
+	}
+	if evicted["new"] == 0 {
+		t.Error("none of the unused connections was evicted")
+	}
+}
+
+// A connection that can't be added beside requests that are being served must be closed itself.
+func TestIntakeClosesNewcomersBesideServedRequests(t *testing.T) {
+	i, evicted := NewIntake(1000, 1), evictions{}
+	served := evicted.open(i, "served")
+	served.StartBody(intakeStart)
+	served.StartRun(intakeStart)
+	evicted.open(i, "newcomer")
+	if evicted["newcomer"] != 1 || len(evicted) != 1 {
+		t.Errorf("evicted %v, want the newcomer", evicted)
+	}
+}
+
 // Whatever connections do, those that may be evicted never hold more than the bound leaves, no connection is evicted
 // twice or while it is served, and nothing is left when all have closed.
 func TestIntakeKeepsItsBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const bound = 1000
-		i := NewIntake(bound)
+		const bound, most = 1000, 5
+		i := NewIntake(bound, most)
 		now := intakeStart
 		phases := map[*Holding]Phase{}
 		evicted := map[*Holding]int{}
@@ -101,9 +141,11 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond)
 			if len(all) == 0 || rapid.IntRange(0, 4).Draw(t, "open") == 0 {
 				var h *Holding
-				h = i.Open(now, func(p Phase) {
-					evicted[h]++
-					if p == PhaseRunning || phases[h] == PhaseRunning {
+				h = i.Open(now, func(refuse bool) {
+					if refuse {
+						evicted[h]++
+					}
+					if phases[h] == PhaseRunning {
 						t.Fatal("a request that is served was evicted")
 					}
 				})
@@ -128,13 +170,22 @@
 				phases[h] = PhaseUnused
 				h.Close()
 			}
+			running := 0
+			for _, p := range phases {
+				if p == PhaseRunning {
+					running++
+				}
+			}
+			if conns, _ := i.Load(); conns > max(most, running) {
+				t.Fatalf("%d connections are open, %d of them with requests that are served", conns, running)
+			}
 			if i.bytes > bound && i.bytes > i.running {
 				t.Fatalf("connections hold %d bytes, %d of them for requests that are served", i.bytes, i.running)
 			}
 		}
 		for h, n := range evicted {
 			if n > 1 {
-				t.Fatalf("a connection was evicted %d times", n)
+				t.Fatalf("a request was refused %d times", n)
 			}
 			if h.Grow(now, 1) {
 				t.Fatal("an evicted connection may go on")
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -15,7 +15,14 @@
 	DefaultEvents       = 1 << 14
 	MinMemoryMB         = 32
 	DefaultMemoryMB     = 256
-	IntakeDivisor       = 8                // part of the memory that callers' requests may hold together while they are received and served
+	IntakeDivisor       = 8 // part of the memory that callers' requests may hold together while they are received and served
+	MinDescriptors      = 300
+	DefaultDescriptors  = 4096
+	FileDescriptors     = 200 // descriptors that are not for sockets
+	// Callers' connections may use 3/4 of the sockets.
+	CallerShareNumerator   = 3
+	CallerShareDenominator = 4
+
 	MinFleetSize        = 8                // smallest fleet size that sharerCount assumes
 	UnknownFleetSize    = 100              // assumed fleet size while the members may not all be known
 	LearnPeriod         = 2 * time.Second  // after this time from its start, a VM counts the members as known
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -96,7 +96,8 @@
 		"fleet", v.spenderCount(), "up-ms", time.Since(v.startedAt).Milliseconds())
 }
 
-// reportEvicted counts and logs the connections of callers that were closed because all together held too much.
+// reportEvicted counts and logs the connections of callers that were evicted because there were too many, or because all
+// together held too much.
 func (v *VM) reportEvicted() {
 	n := v.intake.TakeEvicted()
 	if n == 0 {
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -24,7 +24,8 @@
 
 // Resources holds what the VM's process may use.
 type Resources struct {
-	MemoryMB int `json:"memory-mb"` // in millions of bytes
+	MemoryMB    int `json:"memory-mb"`   // in millions of bytes
+	Descriptors int `json:"descriptors"` // files and sockets that may be open
 }
 
 // Settings holds the start-up settings of one VM.
@@ -91,6 +92,9 @@
 	if s.Resources.MemoryMB < MinMemoryMB {
 		p.Add("must be at least 32", "resources", "memory-mb")
 	}
+	if s.Resources.Descriptors < MinDescriptors {
+		p.Add("must be at least 300", "resources", "descriptors")
+	}
 	if s.Timeline.Sample < 0 || s.Timeline.Sample > 1 {
 		p.Add("must be from 0 to 1", "timeline", "sample")
 	}
@@ -154,6 +158,9 @@
 	if s.Resources.MemoryMB == 0 {
 		s.Resources.MemoryMB = DefaultMemoryMB
 	}
+	if s.Resources.Descriptors == 0 {
+		s.Resources.Descriptors = DefaultDescriptors
+	}
 	if !s.Advertise.IsValid() {
 		s.Advertise = s.Listen.Peers
 	}
@@ -169,6 +176,12 @@
 // Bytes returns the memory that the process may use, in bytes.
 func (r Resources) Bytes() int64 { return int64(r.MemoryMB) * 1_000_000 }
 
+// callerConns returns how many connections callers may have open. The rest of the sockets is for searchers, the store,
+// other VMs and operators.
+func (r Resources) callerConns() int {
+	return (r.Descriptors - FileDescriptors) * CallerShareNumerator / CallerShareDenominator
+}
+
 func (s *Settings) isRelay() bool { return s.Relay == nil || *s.Relay }
 
 func (s *Settings) keyBytes() [][]byte {
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -172,7 +172,7 @@
 	v.observer = observer.NewObserver(v.observerOptions()...)
 	v.quarantine = observer.NewQuarantine()
 	v.admitter = limiter.NewAdmitter()
-	v.intake = limiter.NewIntake(v.cfg.Resources.Bytes() / IntakeDivisor)
+	v.intake = limiter.NewIntake(v.cfg.Resources.Bytes()/IntakeDivisor, v.cfg.Resources.callerConns())
 	v.dialer = dialer.NewDialer(local, v.dialerOptions()...)
 	v.scatterer = scatterer.NewScatterer(v.dialer, v.observer, v.quarantine, v.recorder,
 		append(v.scattererOptions(), v.mechanisms.Scatterer...)...)
--- a/server/callerconn.go
+++ b/server/callerconn.go
@@ -51,9 +51,9 @@
 	return c.Conn.Close()
 }
 
-// evict ends the connection in the phase. The handler still refuses a request whose body is being read.
-func (c *callerConn) evict(p limiter.Phase) {
-	if p != limiter.PhaseBody {
+// evict closes the connection, or makes the handler refuse the request whose body it reads.
+func (c *callerConn) evict(refuse bool) {
+	if !refuse {
 		_ = c.Conn.Close()
 		return
 	}
