server: bodies that nobody reads have a timeout

Callers saw: a request that was refused for its head, for example for its id, got no answer while its body was incomplete, and its connection stayed open for as long as the client liked, counted as a request under way. Cause: the server reads up to 256 KiB of a body that its handler did not read before it answers. Only handlers that read the body set a timeout. Change: each request with a body has BodyTimeout from its head on; reading the body replaces it.

--- a/server/guard.go
+++ b/server/guard.go
@@ -37,7 +37,7 @@
 		}
 		return ctx
 	}
-	s.Handler = releaseAfter(s.Handler)
+	s.Handler = releaseAfter(limitUnreadBody(s.Handler))
 	hook := s.ConnState
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
 		if c, ok := conn.(*callerConn); ok {
@@ -80,6 +80,17 @@
 	})
 }
 
+// limitUnreadBody bounds the time in which the server reads a body that the handler does not read. The server does so
+// before it answers, to use the connection again.
+func limitUnreadBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Body != nil && r.Body != http.NoBody {
+			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(BodyTimeout))
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // startRun returns a refusal if the request may not be served beside those that are being served.
 func startRun(r *http.Request) error {
 	if holdingOf(r).StartRun(time.Now()) {
--- a/server/guard_test.go
+++ b/server/guard_test.go
@@ -107,3 +107,12 @@
 		}
 	}
 }
+
+// A request whose handler reads none of its body must be answered although the body never ends.
+func TestUnreadBodiesDelayNoAnswerForever(t *testing.T) {
+	addr := serveGuarded(t, &Guard{HeadLimit: FixedHeadLimit(1000)}, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+	res := exchange(t, addr, "POST / HTTP/1.1\r\nHost: desk\r\nContent-Length: 10\r\n\r\nb")
+	if res.StatusCode != http.StatusNotFound || !res.Close {
+		t.Errorf("status %d, close %v; want 404, true", res.StatusCode, res.Close)
+	}
+}
