limiter: the head of a request has the configured timeout

Callers saw: a client could hold a connection with an unfinished head for 10 s where the configuration allows 3 s, and a configuration that allows more than 10 s was not followed either. Cause: the server's own timeout is fixed when the VM starts. Change: the Intake knows since when a connection sends a head or is idle, and once a second connections are closed that exceed the timeouts in force; on a VM that serves searches these are the fixed ones. This replaces the separate record of idle connections.

--- a/limiter/intake.go
+++ b/limiter/intake.go
@@ -145,6 +145,37 @@
 	h.set(p, now)
 }
 
+// Timeouts bounds how long a connection may stay in a phase; 0 is no bound.
+type Timeouts struct {
+	Idle time.Duration // without a request, before the first one and between two
+	Head time.Duration // to send the head of a request
+}
+
+// CloseOverdue closes the connections that have been in a phase for longer than its timeout. Bodies have a timeout of
+// their own, which the server keeps.
+func (i *Intake) CloseOverdue(now time.Time, t Timeouts) {
+	i.mu.Lock()
+	var victims []func()
+	for h := range i.holdings {
+		if h.isOverdue(now, t) {
+			h.close()
+			victims = append(victims, func() { h.evict(false) })
+		}
+	}
+	i.mu.Unlock()
+	run(victims)
+}
+
+func (h *Holding) isOverdue(now time.Time, t Timeouts) bool {
+	switch h.phase {
+	case PhaseUnused, PhaseIdle:
+		return t.Idle > 0 && now.Sub(h.since) > t.Idle
+	case PhaseHead:
+		return t.Head > 0 && now.Sub(h.since) > t.Head
+	}
+	return false
+}
+
 // Load returns how many connections there are and how many bytes they hold.
 func (i *Intake) Load() (conns int, bytes int64) {
 	i.mu.Lock()
--- a/limiter/intake_test.go
+++ b/limiter/intake_test.go
@@ -127,6 +127,43 @@
 	}
 }
 
+// A connection must be closed when it has been idle, or has sent a head, for longer than its timeout, and not earlier.
+func TestIntakeClosesOverdueConnections(t *testing.T) {
+	timeouts := Timeouts{Idle: 15 * time.Second, Head: 3 * time.Second}
+	finish := func(h *Holding, now time.Time) { h.Finish(now) }
+	tests := []struct {
+		name  string
+		start func(h *Holding, now time.Time)
+		after time.Duration
+		want  int
+	}{
+		{"unused", func(*Holding, time.Time) {}, timeouts.Idle, 0},
+		{"unused for too long", func(*Holding, time.Time) {}, timeouts.Idle + 1, 1},
+		{"idle", finish, timeouts.Idle, 0},
+		{"idle for too long", finish, timeouts.Idle + 1, 1},
+		{"head", func(h *Holding, now time.Time) { h.GrowHead(now, 1) }, timeouts.Head, 0},
+		{"head for too long", func(h *Holding, now time.Time) { h.GrowHead(now, 1) }, timeouts.Head + 1, 1},
+		{"request that is served", func(h *Holding, now time.Time) { h.StartRun(now) }, time.Hour, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			i, evicted := NewIntake(1000, 10), evictions{}
+			h := evicted.open(i, tt.name)
+			tt.start(h, intakeStart)
+			i.CloseOverdue(intakeStart.Add(tt.after), timeouts)
+			if evicted[tt.name] != tt.want {
+				t.Errorf("closed %d times, want %d", evicted[tt.name], tt.want)
+			}
+		})
+	}
+	i, evicted := NewIntake(1000, 10), evictions{}
+	evicted.open(i, "unlimited").GrowHead(intakeStart, 1)
+	i.CloseOverdue(intakeStart.Add(time.Hour), Timeouts{})
+	if len(evicted) != 0 {
+		t.Error("a connection was closed without a timeout")
+	}
+}
+
 // Whatever connections do, those that may be evicted never hold more than the bound leaves, no connection is evicted
 // twice or while it is served, and nothing is left when all have closed.
 func TestIntakeKeepsItsBound(t *testing.T) {
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -185,7 +185,7 @@
 	return false
 }
 
-// runRouteUpkeep refreshes the connection shares, trims connections to searchers and idle ones of callers, warms
+// runRouteUpkeep refreshes the connection shares, trims connections to searchers, closes overdue ones of callers, warms
 // connections and reports overload, denied attempts and searchers that are no longer excluded, once every UpkeepPeriod.
 func (v *VM) runRouteUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
@@ -196,6 +196,7 @@
 		case <-ticker.C:
 			v.refreshShares(&phase)
 			v.trim()
+			v.intake.CloseOverdue(time.Now(), v.callerTimeouts())
 			v.warm(ctx)
 			v.reportOverload()
 			v.reportDenied()
@@ -236,7 +237,7 @@
 	_ = spawner.Wait(results...)
 }
 
-// trim closes connections to searchers that this VM may not keep, and idle connections of callers. It drops keys that
+// trim closes connections to searchers that this VM may not keep. It drops keys that
 // were deleted longer than DeletedKeyRetention ago, and the state of services that the view no longer has.
 func (v *VM) trim() {
 	view := v.view.Load()
@@ -260,9 +261,18 @@
 	}
 	v.scatterer.Windows.SetServices(time.Now(), view.ServiceNames())
 	v.scatterer.Shedder.Keep(known)
-	if view.Limits != nil {
-		v.idleConns.CloseIdle(time.Now(), view.Limits.IdleTimeout.Duration)
+}
+
+// callerTimeouts returns the timeouts of the callers' connections that are in force.
+func (v *VM) callerTimeouts() limiter.Timeouts {
+	if v.cfg.Routing == nil {
+		return limiter.Timeouts{Idle: server.IdleTimeout, Head: server.HeaderTimeout}
+	}
+	view := v.view.Load()
+	if view == nil || view.Limits == nil {
+		return limiter.Timeouts{Idle: server.IdleTimeout, Head: server.RouteHeaderTimeout}
 	}
+	return limiter.Timeouts{Idle: view.Limits.IdleTimeout.Duration, Head: view.Limits.HeaderTimeout.Duration}
 }
 
 func (v *VM) serveRoutes(ctx context.Context) error {
@@ -275,7 +285,6 @@
 		},
 	}
 	s := server.NewRouteServer(routes)
-	s.ConnState = v.idleConns.OnStateChange
 	guard := &server.Guard{HeadLimit: routes.HeadLimit, Intake: v.intake}
 	return server.Serve(ctx, s, v.callerListener, v.cfg.Grace.Duration, server.WithGuard(guard))
 }
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -13,13 +13,14 @@
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
-// runUpkeep pings the searchers that this VM may call, trims connections and reports evicted callers once every
+// runUpkeep pings the searchers that this VM may call, trims connections, closes overdue callers and reports evicted ones once every
 // UpkeepPeriod, and removes the records of old tickets once every TicketSweepRounds periods.
 func (v *VM) runUpkeep(ctx context.Context) error {
 	ticker := time.NewTicker(UpkeepPeriod)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
 		v.pingAll(ctx)
+		v.intake.CloseOverdue(time.Now(), v.callerTimeouts())
 		v.reportEvicted()
 		if round%TicketSweepRounds == 0 {
 			v.tickets.Sweep(time.Now())
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -84,7 +84,6 @@
 	draining        atomic.Bool
 	stop            *server.Stop
 	intake          *limiter.Intake // of the callers' port
-	idleConns       server.IdleConns
 	storeLosses     storeLosses
 	shares          shareCache
 	exclusions      exclusions
--- a/server/constants.go
+++ b/server/constants.go
@@ -16,8 +16,7 @@
 	// that is too many to come from a few searchers or services, and counts as overload.
 	WidespreadDivisor = 8
 
-	// The fixed limits of the server for routes. The configuration has a limit of its own for the size of headers, which
-	// is checked for each request; while no configuration is in force, only the fixed limits hold.
+	// The fixed limits of the server for routes. The configuration has limits of its own, which hold where there is one.
 	RouteHeaderBytes   = 256 << 10
 	RouteHeaderTimeout = 10 * time.Second
 
--- a/server/serve.go
+++ b/server/serve.go
@@ -19,12 +19,14 @@
 	}
 }
 
-// NewRouteServer returns a server for callers of routes. Its limits of the size and the time of headers are fixed,
-// and meant to be wider than the configured ones, which a Guard and RouteHandler keep.
+// NewRouteServer returns a server for callers of routes. Its limit of the size of headers is fixed and meant to be wider
+// than the configured one, which a Guard and RouteHandler keep. Its Guard's owner closes connections that take too long
+// for a head or stay idle.
 func NewRouteServer(h http.Handler) *http.Server {
 	s := NewHTTPServer(h)
 	s.MaxHeaderBytes = RouteHeaderBytes
-	s.ReadHeaderTimeout = RouteHeaderTimeout
+	s.ReadHeaderTimeout = 0
+	s.IdleTimeout = 0
 	return s
 }
 
