server: answers that nobody reads do not hold a connection forever

Callers saw: nothing. A client that read none of its answers kept its connection, the request and the answer for as long as it liked, and a planned stop waited for it until the end of its grace. Cause: the write of an answer had no timeout, and no answer counted in what the VM holds. Change: the Intake knows when a caller last took a part of its answer, which is written in pieces of 16 KiB. A caller that takes none for the configured idle timeout is closed; answers that are being written count in the sum, so that those that were not read for longest give way under pressure. The test counts the connections at the callers' port now, not all sockets: those to searchers stay open for 30 s.

--- a/flooder/flood_test.go
+++ b/flooder/flood_test.go
@@ -221,7 +221,7 @@
 		}()
 	}
 	time.Sleep(2 * floodLength)
-	v.eventually("connections whose answers nobody reads are closed", func() bool { return socketCount(v.cmd.Process.Pid) < size/2 })
+	v.eventually("connections whose answers nobody reads are closed", func() bool { return v.callerConns() < size/2 })
 	v.ask("/sweep/1")
 	v.checkProcess()
 }
@@ -252,7 +252,7 @@
 		send(c, "POST /lookup/1 HTTP/1.1\r\nHost: "+host+"\r\nX-Attempt-Id: not an id\r\nContent-Length: 1000\r\n\r\nb")
 	}
 	time.Sleep(2 * floodLength)
-	v.eventually("connections whose bodies never end are closed", func() bool { return socketCount(v.cmd.Process.Pid) < size/2 })
+	v.eventually("connections whose bodies never end are closed", func() bool { return v.callerConns() < size/2 })
 	v.ask("/lookup/1")
 	v.checkProcess()
 }
--- a/flooder/world_test.go
+++ b/flooder/world_test.go
@@ -284,6 +284,25 @@
 	return n
 }
 
+// callerConns returns how many connections are open at the callers' port of the VM.
+func (v *vm) callerConns() int {
+	v.t.Helper()
+	const established = "01"
+	b, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		v.t.Fatal(err)
+	}
+	a := v.callers.Addr().As4()
+	local := fmt.Sprintf("%02X%02X%02X%02X:%04X", a[3], a[2], a[1], a[0], v.callers.Port())
+	n := 0
+	for line := range strings.Lines(string(b)) {
+		if f := strings.Fields(line); len(f) > 3 && f[1] == local && f[3] == established {
+			n++
+		}
+	}
+	return n
+}
+
 // ask sends ordinary requests, as a caller that comes back after a refusal, until one is answered.
 func (v *vm) ask(path string) {
 	v.t.Helper()
--- a/limiter/intake.go
+++ b/limiter/intake.go
@@ -45,6 +45,7 @@
 	evict   func(refuse bool)
 	phase   Phase
 	since   time.Time // when the connection began its request or became idle
+	moved   time.Time // when it last took a part of its answer
 	bytes   int64
 	evicted bool // what it held is no longer counted
 	closed  bool // it is no longer counted
@@ -126,6 +127,14 @@
 	return true
 }
 
+// StartWrite says that n bytes of the answer are to be written, and wait until the caller reads them.
+func (h *Holding) StartWrite(now time.Time, n int64) {
+	if h == nil {
+		return
+	}
+	h.grow(now, PhaseWriting, n)
+}
+
 // Release says that the request was served or refused, and that the connection holds nothing more of it.
 func (h *Holding) Release(now time.Time) { h.release(PhaseWriting, now) }
 
@@ -149,6 +158,7 @@
 type Timeouts struct {
 	Idle time.Duration // without a request, before the first one and between two
 	Head time.Duration // to send the head of a request
+	Read time.Duration // without taking any part of an answer
 }
 
 // CloseOverdue closes the connections that have been in a phase for longer than its timeout. Bodies have a timeout of
@@ -172,6 +182,8 @@
 		return t.Idle > 0 && now.Sub(h.since) > t.Idle
 	case PhaseHead:
 		return t.Head > 0 && now.Sub(h.since) > t.Head
+	case PhaseWriting:
+		return t.Read > 0 && now.Sub(h.moved) > t.Read
 	}
 	return false
 }
@@ -203,7 +215,7 @@
 	if h.phase == PhaseUnused || h.phase == PhaseIdle || p == PhaseIdle {
 		h.since = now
 	}
-	h.phase = p
+	h.phase, h.moved = p, now
 }
 
 // clear makes the connection hold nothing.
@@ -299,7 +311,7 @@
 // burden returns what the connection costs the others, in byte seconds, or 0 if it must not be evicted for that.
 func (h *Holding) burden(now time.Time) float64 {
 	switch h.phase {
-	case PhaseHead, PhaseBody:
+	case PhaseHead, PhaseBody, PhaseWriting:
 		return float64(h.bytes) * h.age(now)
 	}
 	return 0
--- a/limiter/intake_test.go
+++ b/limiter/intake_test.go
@@ -129,7 +129,7 @@
 
 // A connection must be closed when it has been idle, or has sent a head, for longer than its timeout, and not earlier.
 func TestIntakeClosesOverdueConnections(t *testing.T) {
-	timeouts := Timeouts{Idle: 15 * time.Second, Head: 3 * time.Second}
+	timeouts := Timeouts{Idle: 15 * time.Second, Head: 3 * time.Second, Read: 10 * time.Second}
 	finish := func(h *Holding, now time.Time) { h.Finish(now) }
 	tests := []struct {
 		name  string
@@ -143,6 +143,12 @@
 		{"idle for too long", finish, timeouts.Idle + 1, 1},
 		{"head", func(h *Holding, now time.Time) { h.GrowHead(now, 1) }, timeouts.Head, 0},
 		{"head for too long", func(h *Holding, now time.Time) { h.GrowHead(now, 1) }, timeouts.Head + 1, 1},
+		{"answer", func(h *Holding, now time.Time) { h.StartWrite(now, 1) }, timeouts.Read, 0},
+		{"answer that is not read", func(h *Holding, now time.Time) { h.StartWrite(now, 1) }, timeouts.Read + 1, 1},
+		{"answer that is read slowly", func(h *Holding, now time.Time) {
+			h.StartWrite(now.Add(-timeouts.Read), 1)
+			h.StartWrite(now, 1)
+		}, timeouts.Read, 0},
 		{"request that is served", func(h *Holding, now time.Time) { h.StartRun(now) }, time.Hour, 0},
 	}
 	for _, tt := range tests {
@@ -190,9 +196,9 @@
 				continue
 			}
 			h := rapid.SampledFrom(all).Draw(t, "holding")
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0, 1:
-				if phases[h] != PhaseRunning {
+				if phases[h] != PhaseRunning && phases[h] != PhaseWriting {
 					phases[h] = PhaseBody
 					h.Grow(now, int64(rapid.IntRange(0, bound/2).Draw(t, "bytes")))
 				}
@@ -204,6 +210,11 @@
 				phases[h] = PhaseIdle
 				h.Finish(now)
 			case 4:
+				if phases[h] == PhaseRunning {
+					phases[h] = PhaseWriting
+					h.StartWrite(now, int64(rapid.IntRange(0, bound/2).Draw(t, "answer")))
+				}
+			case 5:
 				phases[h] = PhaseUnused
 				h.Close()
 			}
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -25,7 +25,9 @@
 )
 
 func (v *VM) dialerOptions() []dialer.Option {
-	options := []dialer.Option{dialer.WithBudget(v.connectionBudget), dialer.WithOnRetired(v.recordRetired)}
+	options := []dialer.Option{
+		dialer.WithBudget(v.connectionBudget), dialer.WithOnRetired(v.recordRetired),
+	}
 	if v.cfg.Routing != nil {
 		options = append(options, dialer.WithWire(platform.SearcherWire()), dialer.WithProbation(v.isUnsettled))
 	}
@@ -266,13 +268,14 @@
 // callerTimeouts returns the timeouts of the callers' connections that are in force.
 func (v *VM) callerTimeouts() limiter.Timeouts {
 	if v.cfg.Routing == nil {
-		return limiter.Timeouts{Idle: server.IdleTimeout, Head: server.HeaderTimeout}
+		return limiter.Timeouts{Idle: server.IdleTimeout, Head: server.HeaderTimeout, Read: server.UnreadTimeout}
 	}
 	view := v.view.Load()
 	if view == nil || view.Limits == nil {
-		return limiter.Timeouts{Idle: server.IdleTimeout, Head: server.RouteHeaderTimeout}
+		return limiter.Timeouts{Idle: server.IdleTimeout, Head: server.RouteHeaderTimeout, Read: server.UnreadTimeout}
 	}
-	return limiter.Timeouts{Idle: view.Limits.IdleTimeout.Duration, Head: view.Limits.HeaderTimeout.Duration}
+	idle := view.Limits.IdleTimeout.Duration
+	return limiter.Timeouts{Idle: idle, Head: view.Limits.HeaderTimeout.Duration, Read: idle}
 }
 
 func (v *VM) serveRoutes(ctx context.Context) error {
--- a/server/callerconn.go
+++ b/server/callerconn.go
@@ -40,6 +40,20 @@
 	return n, err
 }
 
+// Write writes a part of an answer, piece by piece, so that it is known when the caller last took one.
+func (c *callerConn) Write(b []byte) (int, error) {
+	c.holding.StartWrite(time.Now(), int64(len(b)))
+	n := 0
+	for {
+		k, err := c.Conn.Write(b[n:min(n+WritePieceBytes, len(b))])
+		n += k
+		if err != nil || n == len(b) {
+			return n, err
+		}
+		c.holding.StartWrite(time.Now(), 0)
+	}
+}
+
 // headCost returns how much memory the server needs for bytes of a head.
 func headCost(b []byte) int64 {
 	return int64(len(b) + HeaderLineBytes*bytes.Count(b, []byte{'\n'}))
--- a/server/constants.go
+++ b/server/constants.go
@@ -9,6 +9,7 @@
 	BodyTimeout        = 2 * time.Second
 	HeaderTimeout      = 2 * time.Second
 	IdleTimeout        = 2 * time.Minute
+	UnreadTimeout      = 15 * time.Second // for a caller to take a part of its answer, where the configuration has no idle timeout
 	DefaultResultLimit = 20
 	MaxResultLimit     = 1000
 
@@ -29,7 +30,8 @@
 
 	// A line of a head counts as HeaderLineBytes, which the server's map of headers takes for it, besides its own bytes.
 	HeaderLineBytes = 128
-	FirstBodyBytes  = 4 << 10 // what is kept for a body at first; it doubles as the body is received
+	WritePieceBytes = 16 << 10 // an answer is written in pieces of this size
+	FirstBodyBytes  = 4 << 10  // what is kept for a body at first; it doubles as the body is received
 
 	// A request on a route has its deadline TimeoutMargin before the end of the route's timeout, or ReturnMargin before
 	// the end of the caller's time budget, whichever is earlier.
