dialer: large answers of searchers are read in turn

Callers saw: large answers to many requests at once took the memory of a VM; with callers that read none of them 295 MB of 160. Cause: an answer counts only once it is written to its caller. Before that each request under way could hold up to 1 MB, in a buffer that grows by copies, and a copy of it. Change: answers above 64 KiB share a sixteenth of the VM's memory while they are read; one for which there is no room yet is not read on, so that its searcher waits, until its call ends. Smaller answers never wait.

--- a/dialer/codec.go
+++ b/dialer/codec.go
@@ -1,7 +1,6 @@
 package dialer
 
 import (
-	"bytes"
 	"strconv"
 	"strings"
 	"time"
@@ -54,7 +53,7 @@
 		return Reply{Fault: gatherer.FaultCrossed}
 	}
 	r := Reply{
-		Body:     bytes.Clone(res.Body()),
+		Body:     TakeBody(res),
 		Draining: string(res.Header.Peek(HeaderDraining)) == "true",
 		Held:     parseHeld(string(res.Header.Peek(HeaderHeld))),
 	}
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -19,6 +19,8 @@
 	r        *bufio.Reader
 	w        *bufio.Writer
 	lastRead time.Time // of the last answer, or when a new connection was first kept as idle; zero until then
+	received int       // bytes of the answer that is being read
+	reserve  reserveFunc
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c} }
@@ -34,7 +36,7 @@
 		return
 	}
 	c.r = readers.Get().(*bufio.Reader)
-	c.r.Reset(c.Conn)
+	c.r.Reset(answerReader{c})
 	c.w = writers.Get().(*bufio.Writer)
 	c.w.Reset(c.Conn)
 }
@@ -81,6 +83,7 @@
 // transfer writes the request and reads the answer.
 func (c *conn) transfer(req *fasthttp.Request, res *fasthttp.Response, maxBody int) (silent bool, err error) {
 	defer spawner.Recover("exchange", &err)
+	c.received = 0
 	if err := req.Write(c.w); err != nil {
 		return true, err
 	}
@@ -92,7 +95,7 @@
 	}
 	// fasthttp reads the line end of a chunk into the body's buffer, which doubles when it is full:
 	// the body's limit leaves room for the line end.
-	return false, readAnswer(c.r, res, maxBody-len("\r\n"))
+	return false, readAnswer(c.r, res, maxBody-len("\r\n"), c.reserve)
 }
 
 // hasEnded reports whether the searcher closed or reset the connection, and all its bytes were received.
--- a/dialer/constants.go
+++ b/dialer/constants.go
@@ -10,6 +10,9 @@
 	// at once.
 	MaxPartBytes = 256 << 10
 
+	// SmallAnswerBytes is the size up to which an answer needs no room of WithAnswerMemory.
+	SmallAnswerBytes = 64 << 10
+
 	DialTimeout = time.Second
 
 	// IdleLimit is the time after which an idle connection is closed.
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -26,6 +26,7 @@
 	onRetired func(addr netip.AddrPort, detail string)
 	silence   silenceDetector
 	wire      Wire
+	answers   *answerRoom
 	mayReset  func() bool // whether searchers may reset new connections, even if none did so lately
 }
 
@@ -51,6 +52,10 @@
 // While it returns true, each new connection must survive a probation before it is used.
 func WithProbation(f func() bool) Option { return func(d *Dialer) { d.mayReset = f } }
 
+// WithAnswerMemory bounds the memory, in bytes, of large answers that are being read at the same time; 0 is no bound. An
+// answer for which there is no room yet is not read on until its call's context ends.
+func WithAnswerMemory(n int64) Option { return func(d *Dialer) { d.answers = newAnswerRoom(n) } }
+
 // NewDialer makes a dialer whose connections use local as their source address.
 func NewDialer(local netip.Addr, options ...Option) *Dialer {
 	netDialer := &net.Dialer{LocalAddr: net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0)), KeepAlive: -1, Control: SetTCPTimeouts}
@@ -162,7 +167,12 @@
 	d.wire.Fill(req, &call, call.Deadline.Sub(d.now()))
 	res.SkipBody = req.Header.IsHead()
 	sent := d.now()
-	if silent, err := c.exchange(ctx, req, res, call.Linger, call.maxBodyBytes()); err != nil {
+	reserve, giveBack := d.answers.reservation(ctx)
+	defer giveBack()
+	c.reserve = reserve
+	silent, err := c.exchange(ctx, req, res, call.Linger, call.maxBodyBytes())
+	c.reserve = nil
+	if err != nil {
 		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Err: err}
 	}
 	call.onNewConn = c.isNew()
--- a/dialer/head.go
+++ b/dialer/head.go
@@ -36,7 +36,7 @@
 
 // readAnswer reads one answer after any informational ones, which it drops. The library reads a status of 000
 // as 200, and takes blanks in the names of fields, so heads and trailers are checked before the library sees them.
-func readAnswer(r *bufio.Reader, res *fasthttp.Response, maxBody int) error {
+func readAnswer(r *bufio.Reader, res *fasthttp.Response, maxBody int, reserve reserveFunc) error {
 	status, err := readFinalHead(r, &res.Header)
 	if err != nil {
 		return err
@@ -44,6 +44,9 @@
 	if res.SkipBody || status == http.StatusNoContent || status == http.StatusNotModified {
 		return nil
 	}
+	if err := reserve.ifLarge(min(res.Header.ContentLength(), maxBody)); err != nil {
+		return err
+	}
 	if err := res.ReadBody(r, maxBody); err != nil {
 		return err
 	}
--- a/dialer/head_test.go
+++ b/dialer/head_test.go
@@ -107,7 +107,7 @@
 			res.ConnectionClose(), res.Header.ContentLength(), fields)
 	}
 	want = read(func(r *bufio.Reader, res *fasthttp.Response) error { return res.ReadLimitBody(r, MaxPartBytes) })
-	got = read(func(r *bufio.Reader, res *fasthttp.Response) error { return readAnswer(r, res, MaxPartBytes) })
+	got = read(func(r *bufio.Reader, res *fasthttp.Response) error { return readAnswer(r, res, MaxPartBytes, nil) })
 	return want, got
 }
 
@@ -160,7 +160,7 @@
 	}
 	readers := map[string]func(r *bufio.Reader, res *fasthttp.Response) error{
 		"library": func(r *bufio.Reader, res *fasthttp.Response) error { return res.ReadLimitBody(r, MaxPartBytes) },
-		"checked": func(r *bufio.Reader, res *fasthttp.Response) error { return readAnswer(r, res, MaxPartBytes) },
+		"checked": func(r *bufio.Reader, res *fasthttp.Response) error { return readAnswer(r, res, MaxPartBytes, nil) },
 	}
 	for _, framing := range []string{"length", "chunked"} {
 		for _, reader := range []string{"library", "checked"} {
@@ -197,7 +197,7 @@
 func TestErrorOfAMalformedHeadKeepsItsLine(t *testing.T) {
 	for _, answer := range []string{"HTTP/1.1 000 X\r\n" + framedLoad, "HTTP/1.1 200 X\r\nX Note: b\r\n" + framedLoad} {
 		r := bufio.NewReaderSize(strings.NewReader(answer), readBufferSize)
-		err := readAnswer(r, &fasthttp.Response{}, MaxPartBytes)
+		err := readAnswer(r, &fasthttp.Response{}, MaxPartBytes, nil)
 		if err == nil {
 			t.Fatalf("answer %q was read without an error", answer)
 		}
--- a/runner/constants.go
+++ b/runner/constants.go
@@ -15,7 +15,8 @@
 	DefaultEvents       = 1 << 14
 	MinMemoryMB         = 32
 	DefaultMemoryMB     = 256
-	IntakeDivisor       = 8 // part of the memory that callers' requests may hold together while they are received and served
+	IntakeDivisor       = 8  // part of the memory that callers' requests may hold together while they are received and served
+	AnswerDivisor       = 16 // part of the memory that searchers' large answers may take together while they are read
 	MinDescriptors      = 300
 	DefaultDescriptors  = 4096
 	FileDescriptors     = 200 // descriptors that are not for sockets
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -26,7 +26,7 @@
 
 func (v *VM) dialerOptions() []dialer.Option {
 	options := []dialer.Option{
-		dialer.WithBudget(v.connectionBudget), dialer.WithOnRetired(v.recordRetired),
+		dialer.WithBudget(v.connectionBudget), dialer.WithOnRetired(v.recordRetired), dialer.WithAnswerMemory(v.cfg.Resources.Bytes() / AnswerDivisor),
 	}
 	if v.cfg.Routing != nil {
 		options = append(options, dialer.WithWire(platform.SearcherWire()), dialer.WithProbation(v.isUnsettled))
