commander: the garbage collector knows the VM's memory

Cause: the collector lets the heap grow by half of what is in use, whatever the machine has, and returns free memory late. Change: its limit is three quarters of resources.memory-mb, unless GOMEMLIMIT is set.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -25,6 +25,10 @@
 // time of collections.
 const gcPercent = 50
 
+// memoryLimitPercent is the part of the VM's memory that the garbage collector keeps to, as far as what is in use allows.
+// The rest is for the program itself and for memory that the runtime does not count.
+const memoryLimitPercent = 75
+
 // settingsPeriod is how often the settings file is checked for a change, because a change may come without a SIGHUP.
 const settingsPeriod = 5 * time.Second
 
@@ -45,9 +49,7 @@
 	if err != nil {
 		return err
 	}
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(gcPercent)
-	}
+	limitMemory(cfg.Resources)
 	// Logging outlives ctx, so that the lines of the drain are written.
 	logCtx, stopLogs := context.WithCancel(context.WithoutCancel(ctx))
 	logsDone := logger.Start(logCtx, c.Root().Writer)
@@ -66,6 +68,16 @@
 	return firstError(err, spawner.Wait(reloadDone))
 }
 
+// limitMemory sets the garbage collector's targets, unless the environment does.
+func limitMemory(r runner.Resources) {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(r.Bytes() * memoryLimitPercent / 100)
+	}
+}
+
 func firstError(a, b error) error {
 	if a != nil {
 		return a
