server: unfinished requests hold no planned stop

Callers saw: nothing; a VM with clients that never finish their requests used its whole grace to stop, which other requests may need. Cause: a connection with a part of a request counts as busy until its request has timed out. Change: while the server stops, requests that are not received whole within half a second are refused with 429, or closed while their head is read. Evidence: TestUnfinishedRequestsHoldNoStop failed before (not stopped after 20 s, with a timeout of 1 min for bodies) and passes.

--- a/limiter/intake.go
+++ b/limiter/intake.go
@@ -176,6 +176,20 @@
 	run(victims)
 }
 
+// EvictUnfinished evicts the connections whose request has not been received whole within the given time.
+func (i *Intake) EvictUnfinished(now time.Time, within time.Duration) {
+	i.mu.Lock()
+	var victims []func()
+	for h := range i.holdings {
+		unfinished := h.phase == PhaseHead || h.phase == PhaseBody
+		if unfinished && !h.evicted && now.Sub(h.since) > within {
+			victims = append(victims, h.takeBytes())
+		}
+	}
+	i.mu.Unlock()
+	run(victims)
+}
+
 func (h *Holding) isOverdue(now time.Time, t Timeouts) bool {
 	switch h.phase {
 	case PhaseUnused, PhaseIdle:
--- a/server/constants.go
+++ b/server/constants.go
@@ -56,7 +56,9 @@
 	NeededObjectives     = 2
 	NeededObjectivesOnce = 4
 
-	FirstRequestWait  = 500 * time.Millisecond // while the server stops, a new connection counts as busy for this time
+	// While the server stops, a new connection counts as busy for FirstRequestWait, and a request that is not received
+	// whole within this time is refused.
+	FirstRequestWait  = 500 * time.Millisecond
 	DrainPollInterval = 5 * time.Millisecond
 )
 
--- a/server/guard.go
+++ b/server/guard.go
@@ -58,6 +58,13 @@
 	return c
 }
 
+// endUnfinished ends the connections whose requests are not received whole in time for a planned stop.
+func (g *Guard) endUnfinished() {
+	if g != nil && g.Intake != nil {
+		g.Intake.EvictUnfinished(time.Now(), FirstRequestWait)
+	}
+}
+
 // holdingKey is the key of the holding in the contexts of a connection's requests.
 type holdingKey struct{}
 
--- a/server/guard_test.go
+++ b/server/guard_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/refuser"
 )
 
@@ -116,3 +117,55 @@
 		t.Errorf("status %d, close %v; want 404, true", res.StatusCode, res.Close)
 	}
 }
+
+// Connections whose requests never end must not hold a planned stop, and a refusal of such a request says that it has not
+// run.
+func TestUnfinishedRequestsHoldNoStop(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var reading atomic.Int32
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		reading.Add(1)
+		if _, err := receiveBody(w, r, 1000, time.Minute); err != nil {
+			Refuse(w, r, err)
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		g := &Guard{HeadLimit: FixedHeadLimit(1000), Intake: limiter.NewIntake(1<<20, 100)}
+		done <- Serve(ctx, NewRouteServer(h), l, time.Minute, WithGuard(g))
+	}()
+	var conns []net.Conn
+	for _, request := range []string{"POST / HTTP/1.1\r\nHost: desk\r\nContent-Length: 10\r\n\r\nb", "GET / HTTP/1.1\r\n"} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		_, _ = io.WriteString(c, request)
+		conns = append(conns, c)
+	}
+	for reading.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Errorf("Serve returned %v, want nil", err)
+		}
+	case <-time.After(20 * time.Second):
+		t.Fatal("the server has not stopped 20 s after it was told to")
+	}
+	res, err := http.ReadResponse(bufio.NewReader(conns[0]), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("status %d, want 429", res.StatusCode)
+	}
+}
--- a/server/serve.go
+++ b/server/serve.go
@@ -76,16 +76,18 @@
 	if ctx.Err() == nil {
 		return err
 	}
-	return drain(ctx, s, conns, <-drainDeadline)
+	return drain(ctx, s, conns, cfg.guard, <-drainDeadline)
 }
 
-// drain waits until the requests under way have ended, and at the deadline cuts off those that have not. It calls
+// drain waits until the requests under way have ended, and at the deadline cuts off those that have not. Requests that
+// are not received whole in time are not waited for. It calls
 // Shutdown only when no request is under way or at the deadline, because Shutdown closes a connection whose request the
 // server has just read, without an answer.
-func drain(ctx context.Context, s *http.Server, conns *connStates, deadline time.Time) error {
+func drain(ctx context.Context, s *http.Server, conns *connStates, g *Guard, deadline time.Time) error {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	for conns.busy(time.Now()) && ctx.Err() == nil {
+		g.endUnfinished()
 		spawner.Sleep(ctx, DrainPollInterval)
 	}
 	s.RegisterOnShutdown(conns.closeUnused)
