observer: a request's body is not copied for its fingerprint

Each request on a route copied its body, of up to 256 KiB, to hash it behind its method and target. The digest takes them one after the other now; the fingerprints are the same, which the test compares.

--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -105,6 +105,9 @@
 	if !q.Contains(f, epoch) || q.Contains(f, until) || q.Contains(FingerprintOf("cover", []byte("other")), epoch) {
 		t.Error("the quarantine must contain only the added request, and only until the given time")
 	}
+	if FingerprintOfMessage("cover", "GET", "/a", []byte("poison")) != FingerprintOf("cover", []byte("GET /a\x00poison")) {
+		t.Error("the fingerprint of a request on a route is not that of its method, target and body")
+	}
 	if f == FingerprintOf("coverp", []byte("oison")) {
 		t.Error("equal fingerprints of different requests: the index name must be separated from the body")
 	}
--- a/observer/quarantine.go
+++ b/observer/quarantine.go
@@ -13,17 +13,33 @@
 // Fingerprint identifies the content of a request, regardless of its sender.
 type Fingerprint uint64
 
-// FingerprintOf returns the fingerprint of a request on an index. For a search, body is the request's body; for a
-// request on a route it also has the method and the target.
+// FingerprintOf returns the fingerprint of a search on an index.
 func FingerprintOf(index modeler.IndexName, body []byte) Fingerprint {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(string(index))
+	d := newDigest(string(index))
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
+
+// FingerprintOfMessage returns the fingerprint of a request on a route to an index.
+func FingerprintOfMessage(index modeler.IndexName, method, target string, body []byte) Fingerprint {
+	d := newDigest(string(index))
+	_, _ = d.WriteString(method)
+	_, _ = d.WriteString(" ")
+	_, _ = d.WriteString(target)
 	_, _ = d.Write([]byte{0})
 	_, _ = d.Write(body)
 	return Fingerprint(d.Sum64())
 }
 
+// newDigest returns a digest that begins with the index.
+func newDigest(index string) *xxhash.Digest {
+	d := &xxhash.Digest{}
+	d.Reset()
+	_, _ = d.WriteString(index)
+	_, _ = d.Write([]byte{0})
+	return d
+}
+
 // At returns the fingerprint of the request on one snapshot, which differs from f.
 func (f Fingerprint) At(id modeler.SnapshotID) Fingerprint {
 	var b [16]byte
--- a/server/forward.go
+++ b/server/forward.go
@@ -124,7 +124,7 @@
 	if rr.info.Budget > 0 {
 		rr.deadline = earlierTime(rr.deadline, rr.start.Add(rr.info.Budget-ReturnMargin))
 	}
-	rr.fingerprint = observer.FingerprintOf(rr.route.Index.Name, append([]byte(r.Method+" "+r.RequestURI+"\x00"), rr.body...))
+	rr.fingerprint = observer.FingerprintOfMessage(rr.route.Index.Name, r.Method, r.RequestURI, rr.body)
 	if h.Quarantine.Contains(rr.fingerprint, rr.start) {
 		return refuser.New(refuser.Withheld, "this request crashed searchers and is not run")
 	}
