limiter: a new connection does not give way to idle ones

Reading the change again: with as many idle connections as the bound allows and no crowd, each new connection was itself the first to be closed, because connections that never finished a request always came first. Change: the age of a connection without a finished request counts 16 times. Evidence: TestIntakeKeepsNewcomersBesideIdleConnections; the order before would have closed the newcomer, by the code (not run). TestSilentConnections passes.

--- a/limiter/constants.go
+++ b/limiter/constants.go
@@ -41,4 +41,6 @@
 	// makes room for EvictionDivisor of the bound.
 	RunningDivisor  = 2
 	EvictionDivisor = 16
+	// The age of a connection that has finished no request counts as many times as that of an idle one.
+	UnfinishedWeight = 16
 )
--- a/limiter/intake_test.go
+++ b/limiter/intake_test.go
@@ -91,8 +91,8 @@
 	}
 }
 
-// With too many connections, those that never finished a request must give way first, the oldest of them before others,
-// and one whose request is being served never.
+// With too many connections, those on which nothing comes must give way before ordinary idle ones, the oldest of them
+// before others, and one whose request is being served never.
 func TestIntakeClosesUnusedConnectionsFirst(t *testing.T) {
 	const most = 10
 	i, evicted := NewIntake(1000, most), evictions{}
@@ -115,6 +115,23 @@
 	}
 }
 
+// With too many idle connections, a new one must be kept, and the longest idle one give way.
+func TestIntakeKeepsNewcomersBesideIdleConnections(t *testing.T) {
+	const most = 10
+	i, evicted := NewIntake(1000, most), evictions{}
+	for n := range most {
+		name := "idle"
+		if n == 0 {
+			name = "longest idle"
+		}
+		evicted.open(i, name).Finish(intakeStart.Add(time.Duration(n) * time.Second))
+	}
+	i.Open(intakeStart.Add(most*time.Second), func(bool) { evicted["newcomer"]++ })
+	if evicted["longest idle"] != 1 || len(evicted) != 1 {
+		t.Errorf("evicted %v, want the longest idle one", evicted)
+	}
+}
+
 // A connection that can't be added beside requests that are being served must be closed itself.
 func TestIntakeClosesNewcomersBesideServedRequests(t *testing.T) {
 	i, evicted := NewIntake(1000, 1), evictions{}
--- a/runner/run.go
+++ b/runner/run.go
@@ -98,21 +98,6 @@
 	return b
 }
 
-func (v *VM) serveCallers(ctx context.Context) error {
-	if v.cfg.Routing != nil {
-		return v.serveRoutes(ctx)
-	}
-	searches := &server.SearchHandler{
-		Name: v.cfg.Name, View: v.view.Load, Gather: v.spreader.Run, TakeStarvedAttempts: v.scatterer.TakeStarvedAttempts,
-		Admitter: v.admitter, Observer: v.observer, Quarantine: v.quarantine, Recorder: v.recorder,
-		DeadlineMargin: v.cfg.ReturnMargin.Duration, OnDone: v.countSearch,
-	}
-	orders := &server.OrderHandler{Orderer: v.orderer, OnDone: v.countOrder}
-	s := server.NewHTTPServer(server.NewCallersHandler(searches, orders, v.draining.Load))
-	guard := &server.Guard{HeadLimit: server.FixedHeadLimit(server.MaxHeaderBytes), Intake: v.intake}
-	return server.Serve(ctx, s, v.callerListener, v.cfg.Grace.Duration, server.WithGuard(guard))
-}
-
 func (v *VM) servePeers(ctx context.Context) error {
 	service := &relayer.Service{
 		Store: v.store, Gossip: v.gossip, Tickets: v.tickets, Orderer: v.orderer, Scatterer: v.scatterer,
--- a/server/forward.go
+++ b/server/forward.go
@@ -149,41 +149,6 @@
 	return path
 }
 
-// HeadLimit returns the limit in force for the heads of requests. While no configuration is in force, a larger head says
-// nothing of its request, which may come back.
-func (h *RouteHandler) HeadLimit() HeadLimit {
-	view := h.View()
-	switch {
-	case view == nil || !view.HasRoutes():
-		return HeadLimit{MaxHeaderBytes, refuser.Unconfigured}
-	case view.Limits == nil || view.Limits.HeaderBytes <= 0:
-		return HeadLimit{RouteHeaderBytes, refuser.HeaderTooLarge}
-	}
-	return HeadLimit{view.Limits.HeaderBytes, refuser.HeaderTooLarge}
-}
-
-// checkHeaders refuses a request whose request line and headers together are larger than the limit.
-func checkHeaders(w http.ResponseWriter, r *http.Request, limits *modeler.Limits) error {
-	if limits == nil || limits.HeaderBytes <= 0 {
-		return nil
-	}
-	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + headerLineOverhead
-		}
-	}
-	if n <= limits.HeaderBytes {
-		return nil
-	}
-	w.Header().Set("Connection", "close")
-	return refuser.New(refuser.HeaderTooLarge, "headers have %d bytes, at most %d are allowed", n, limits.HeaderBytes)
-}
-
-// headerLineOverhead is the least size of the colon and the line end of a header line. The blanks that callers may add are
-// not known here.
-const headerLineOverhead = 2
-
 // readBody reads the request's body within the configuration's size limit, and within the longer of BodyTimeout and the
 // configuration's header timeout; the configuration has no timeout of its own for bodies. Without configured limits,
 // MaxBodyBytes and BodyTimeout hold.
--- a/server/guard.go
+++ b/server/guard.go
@@ -10,12 +10,6 @@
 	"github.com/pistachiogap/pistachiogap/refuser"
 )
 
-// HeadLimit bounds the request line and the headers of a request, and says how a larger head is refused.
-type HeadLimit struct {
-	Bytes int
-	Kind  refuser.Kind
-}
-
 // Guard bounds what callers may make the connections of a port hold. It sees the bytes before the server's parser does,
 // which keeps a head of any size until its end.
 type Guard struct {
@@ -23,11 +17,6 @@
 	Intake    *limiter.Intake  // bounds what all connections hold together; nil if nothing does
 }
 
-// FixedHeadLimit returns a limit that never changes.
-func FixedHeadLimit(n int) func() HeadLimit {
-	return func() HeadLimit { return HeadLimit{n, refuser.HeaderTooLarge} }
-}
-
 // attach makes the server report the states of its connections and the ends of its requests to the guard. A ConnState
 // hook that the server already has is still called.
 func (g *Guard) attach(s *http.Server) {
