dialer: a request's copy is released once it is written

Callers saw: nothing yet; legal heads of many short lines on a route over many slow shards took more memory than a VM has. Cause: each attempt held its own copy of the caller's headers, in the library that writes requests, until its answer had come: for a request over 36 shards 36 copies and more, while the bound counts the request once. Change: an exchange releases the request as soon as it is written, so that only those being written hold a copy. All floods have 36 shards from now on.

--- a/dialer/check.go
+++ b/dialer/check.go
@@ -33,7 +33,6 @@
 // load asks the searcher's load endpoint on the connection.
 func (d *Dialer) load(ctx context.Context, p *pool, c *conn) (Load, error) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	req.SetRequestURI("/load")
 	req.Header.SetHost(p.addr.String())
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -62,7 +62,7 @@
 // hasUnreadBytes reports whether the searcher sent bytes after the answer that was read.
 func (c *conn) hasUnreadBytes() bool { return c.r != nil && c.r.Buffered() > 0 }
 
-// exchange sends one request and reads the whole answer, whose body may have up to maxBody-2 bytes; see transfer.
+// exchange sends one request, releases it, and reads the whole answer, whose body may have up to maxBody-2 bytes; see transfer.
 // silent means that no byte of an answer came. After the context ends, exchange waits for up to linger,
 // so that the connection is not lost because of an answer that is about to arrive.
 func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, linger time.Duration, maxBody int) (silent bool, err error) {
@@ -80,14 +80,14 @@
 	return silent, err
 }
 
-// transfer writes the request and reads the answer.
+// transfer writes the request and reads the answer. The request is released in between, because it may hold a large copy
+// of its caller's headers, and the answer may take long.
 func (c *conn) transfer(req *fasthttp.Request, res *fasthttp.Response, maxBody int) (silent bool, err error) {
 	defer spawner.Recover("exchange", &err)
 	c.received = 0
-	if err := req.Write(c.w); err != nil {
-		return true, err
-	}
-	if err := c.w.Flush(); err != nil {
+	err = c.write(req)
+	fasthttp.ReleaseRequest(req)
+	if err != nil {
 		return true, err
 	}
 	if _, err := c.r.Peek(1); err != nil {
@@ -98,6 +98,13 @@
 	return false, readAnswer(c.r, res, maxBody-len("\r\n"), c.reserve)
 }
 
+func (c *conn) write(req *fasthttp.Request) error {
+	if err := req.Write(c.w); err != nil {
+		return err
+	}
+	return c.w.Flush()
+}
+
 // hasEnded reports whether the searcher closed or reset the connection, and all its bytes were received.
 func (c *conn) hasEnded() bool {
 	n, ok, err := c.readNow()
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -162,7 +162,6 @@
 		return Reply{Fault: gatherer.FaultNotSent, Withheld: true, Err: errWithheld}
 	}
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(res)
 	d.wire.Fill(req, &call, call.Deadline.Sub(d.now()))
 	res.SkipBody = req.Header.IsHead()
--- a/flooder/flood_test.go
+++ b/flooder/flood_test.go
@@ -172,6 +172,35 @@
 	}
 }
 
+// Requests that are whole and legal must cost no more than the machine has while slow searchers keep them under way.
+func TestFloodsAtSlowSearchers(t *testing.T) {
+	lines := shortLines(15 << 10)
+	body := strings.Repeat("b", maxBodyBytes)
+	for _, path := range []string{"/lookup/1", "/sweep/1"} {
+		t.Run(strings.Trim(path, "/1"), func(t *testing.T) {
+			v := startVM(t, smallest())
+			for _, x := range v.searchers {
+				x.SetOverride(func(_ http.ResponseWriter, r *http.Request) bool {
+					select {
+					case <-r.Context().Done():
+					case <-time.After(time.Second):
+					}
+					return false
+				})
+			}
+			v.withstand(crowdSize, func(w io.Writer, id string) {
+				send(w, head(http.MethodPost, path, id), lines, fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), body)
+			})
+			for _, x := range v.searchers {
+				x.SetOverride(nil)
+			}
+			v.ask("/lookup/1")
+			v.ask("/sweep/1")
+			v.checkProcess()
+		})
+	}
+}
+
 // withstand plays a flood until its clients have left.
 func (v *vm) withstand(size int, send client) {
 	ctx, cancel := context.WithTimeout(v.t.Context(), floodLength)
--- a/flooder/world_test.go
+++ b/flooder/world_test.go
@@ -27,7 +27,7 @@
 	maxBodyBytes    = 262144
 	headerTimeoutMS = 3000
 	idleTimeoutMS   = 15000
-	shardCount      = 10
+	shardCount      = 36
 )
 
 // runawayBytes is the memory at which a VM is killed, to spare the machine of the test.
