--- a/runner/constants.go
+++ b/runner/constants.go
@@ -19,11 +19,8 @@
 	AnswerDivisor       = 16 // part of the memory that searchers' large answers may take together while they are read
 	MinDescriptors      = 300
 	DefaultDescriptors  = 4096
-	FileDescriptors     = 200 // descriptors that are not for sockets
-	// Callers' connections may use 3/4 of the sockets.
-	CallerShareNumerator   = 3
-	CallerShareDenominator = 4
-
+	FileDescriptors     = 200              // descriptors that are not for sockets
+	OthersDivisor       = 4                // part of the sockets that callers' connections leave to others
 	MinFleetSize        = 8                // smallest fleet size that sharerCount assumes
 	UnknownFleetSize    = 100              // assumed fleet size while the members may not all be known
 	LearnPeriod         = 2 * time.Second  // after this time from its start, a VM counts the members as known
--- a/runner/settings.go
+++ b/runner/settings.go
@@ -179,7 +179,8 @@
 // callerConns returns how many connections callers may have open. The rest of the sockets is for searchers, the store,
 // other VMs and operators.
 func (r Resources) callerConns() int {
-	return (r.Descriptors - FileDescriptors) * CallerShareNumerator / CallerShareDenominator
+	sockets := r.Descriptors - FileDescriptors
+	return sockets - sockets/OthersDivisor
 }
 
 func (s *Settings) isRelay() bool { return s.Relay == nil || *s.Relay }
