flooder: the platform's words stand in platform/ alone

Cause: the floods wrote the platform's headers and its configuration themselves. Change: the stand-ins of platform/imitator have the head of a request, an answer with a body and limits of a configuration; the values are the same, and so are clients and bounds.

--- a/flooder/flood_test.go
+++ b/flooder/flood_test.go
@@ -74,7 +74,7 @@
 
 // head returns the beginning of a request, without the empty line at its end.
 func head(method, path, id string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Remaining-Ms: 2000\r\n", method, path, host, id)
+	return imitator.Head(method, path, host, id)
 }
 
 // endless writes the text until the connection is closed.
@@ -231,15 +231,10 @@
 // Clients that read none of their answers must not hold them, and their connections, for as long as they like.
 func TestAnswersThatNobodyReads(t *testing.T) {
 	m := smallest()
-	m.idleTimeoutMS = 1000
+	m.idleTimeout = time.Second
 	v := startVM(t, m)
 	large := strings.Repeat("a", 1_000_000)
-	v.searchers["portal"].SetOverride(func(w http.ResponseWriter, r *http.Request) bool {
-		id := imitator.RequestID(r)
-		w.Header().Set("X-Server-Stamp", imitator.Stamp("portal", "portal-a", id))
-		_, _ = io.WriteString(w, large)
-		return true
-	})
+	v.searchers["portal"].SetOverride(v.searchers["portal"].AnswerWith(large))
 	const size = 150
 	for n := range size {
 		c := dialWithoutBuffer(t, v.callers)
@@ -278,7 +273,7 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = c.Close() }()
-		send(c, "POST /lookup/1 HTTP/1.1\r\nHost: "+host+"\r\nX-Attempt-Id: not an id\r\nContent-Length: 1000\r\n\r\nb")
+		send(c, head(http.MethodPost, "/lookup/1", "not an id"), "Content-Length: 1000\r\n\r\nb")
 	}
 	time.Sleep(2 * floodLength)
 	v.eventually("connections whose bodies never end are closed", func() bool { return v.callerConns() < size/2 })
--- a/flooder/world_test.go
+++ b/flooder/world_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/pistachiogap/pistachiogap/platform"
 	"github.com/pistachiogap/pistachiogap/platform/imitator"
 )
 
@@ -25,8 +26,8 @@
 	fileDescriptors = 200 // of the descriptor limit, kept for files; sockets share the rest
 	maxHeaderBytes  = 16384
 	maxBodyBytes    = 262144
-	headerTimeoutMS = 3000
-	idleTimeoutMS   = 15000
+	headerTimeout   = 3 * time.Second
+	idleTimeout     = 15 * time.Second
 	shardCount      = 36
 )
 
@@ -58,14 +59,14 @@
 
 // machine is what the VM's settings say of its machine.
 type machine struct {
-	memoryMB      int
-	descriptors   int
-	idleTimeoutMS int
+	memoryMB    int
+	descriptors int
+	idleTimeout time.Duration
 }
 
 // smallest is the smallest VM of the users' pages.
 func smallest() machine {
-	return machine{memoryMB: memoryMB, descriptors: descriptorLimit, idleTimeoutMS: idleTimeoutMS}
+	return machine{memoryMB: memoryMB, descriptors: descriptorLimit, idleTimeout: idleTimeout}
 }
 
 // vm is the VM under test, a process of its own, with the stand-ins that it needs.
@@ -100,7 +101,7 @@
 		store.Put("servers/"+x.ID, x.Registration("ready", x.Listener.Addr().String()))
 		v.searchers[service] = x
 	}
-	store.Put("op/config", configuration(m))
+	store.Publish(configuration(m))
 	host := netip.AddrFrom4([4]byte{127, 113, byte(os.Getpid() >> 8), byte(os.Getpid())})
 	v.callers = netip.AddrPortFrom(host, 8226)
 	ready := netip.AddrPortFrom(host, 8227)
@@ -108,7 +109,7 @@
 	go v.watch()
 	t.Cleanup(v.kill)
 	v.eventually("the VM is ready", func() bool {
-		res, err := http.Get("http://" + ready.String() + "/-/readiness")
+		res, err := http.Get("http://" + ready.String() + platform.ReadyPath)
 		if err != nil {
 			return false
 		}
@@ -128,31 +129,11 @@
 }
 
 // configuration returns what the users' operator publishes: the limits of their pages and a route of each kind.
-func configuration(m machine) map[string]any {
-	published := []any{}
-	for _, n := range services() {
-		published = append(published, map[string]any{"name": n, "max_connections": 200})
-	}
-	route := func(name, kind string, more map[string]any) map[string]any {
-		r := map[string]any{
-			"name": name, "host": host, "prefix": "/" + name + "/", "kind": kind, "timeout_ms": 2000, "target_latency_ms": 300, "attempts": 2,
-		}
-		for k, v := range more {
-			r[k] = v
-		}
-		return r
-	}
-	return map[string]any{
-		"version": 1,
-		"routes": []any{
-			route("sweep", "idempotent", map[string]any{"gather": services()[:shardCount], "result_limit": 3, "oldest_version": 0.5}),
-			route("lookup", "idempotent", map[string]any{"service": "portal"}),
-			route("book", "non_idempotent", map[string]any{"service": "portal"}),
-		},
-		"services": published,
-		"limits": map[string]any{
-			"max_header_bytes": maxHeaderBytes, "max_body_bytes": maxBodyBytes, "header_timeout_ms": headerTimeoutMS, "idle_timeout_ms": m.idleTimeoutMS,
-		},
+func configuration(m machine) imitator.Configuration {
+	return imitator.Configuration{
+		Version: 1, Host: host, Shards: services()[:shardCount], LeastCoverage: 0.5, Limit: 3, Lookup: "portal", Order: "portal", Services: services(),
+		Limits:  imitator.Limits{HeaderBytes: maxHeaderBytes, BodyBytes: maxBodyBytes, HeaderTimeout: headerTimeout, IdleTimeout: m.idleTimeout},
+		Timeout: 2 * time.Second, Connections: 200,
 	}
 }
 
