watcher, configurer: a list of the store says what was answered and what became of it

Cause: 'store: history lost' named the VM's own cursor alone. It could not tell a store that came back from an older copy from one that discards its history quickly, from a list that is read and not used, or from peers that don't learn. Change: one line for each whole list, 'store: listed': how many watches in a row had no history, cursor and held revision, position (epoch, from the header Store-Era, and revision) of the store in the watch and in the first page, counts of values added, replaced, removed, older and refused, the first older value with both revisions, and for how long no watch has answered. 'configuration: in force' names the source: the platform, or the VM that had it. Counters store.lists and store.values-older. Offer and Replace return one Result instead of two values. No decision is changed.

--- a/configurer/registration_test.go
+++ b/configurer/registration_test.go
@@ -86,7 +86,7 @@
 	if ready, _ := countRegistrations(s); ready != 2 {
 		t.Errorf("%d searchers are ready, want 2: the listed one and the one registered after the list's revision", ready)
 	}
-	if _, changed := s.Offer(now, 10, []Value{{"servers/b", 2, []byte("ready")}}); changed {
+	if res := s.Offer(now, 10, []Value{{"servers/b", 2, []byte("ready")}}); res.Changed() {
 		t.Error("a deleted value was accepted again at its old revision")
 	}
 }
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -28,13 +28,6 @@
 	Text     []byte
 }
 
-// Refusal names a value that failed the content check, or was accepted although the tier ignores it, and the reason.
-type Refusal struct {
-	Key      string           `json:"key"`
-	Revision modeler.Revision `json:"revision"`
-	Reason   string           `json:"reason"`
-}
-
 // Store is one VM's own copy of the platform's values. It holds the values in force on that VM.
 type Store struct {
 	mu         sync.Mutex
@@ -91,8 +84,8 @@
 
 // Offer accepts or refuses values. Together with the values already in the store they must cover every change up to the
 // head revision.
-// It returns the refused and the ignored values, and whether the configuration in force changed.
-func (s *Store) Offer(now time.Time, head modeler.Revision, values []Value) (refused []Refusal, changed bool) {
+func (s *Store) Offer(now time.Time, head modeler.Revision, values []Value) Result {
+	var out Result
 	changedSince := s.confirmedAt()
 	if changedSince.IsZero() || changedSince.After(now) {
 		changedSince = now
@@ -100,24 +93,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, v := range values {
-		refusal, valueChanged := s.offer(now, changedSince, v)
-		changed = changed || valueChanged
-		if refusal != nil {
-			refused = append(refused, *refusal)
-		}
+		s.offer(now, changedSince, v, &out)
 	}
 	if s.supersedes(head, s.head) {
 		s.head = head
 	}
-	if changed {
+	if out.Changed() {
 		s.changedAt = now
 	}
-	return refused, changed
+	return out
 }
 
 // Replace offers all values that the platform had at a revision. It deletes each key that is not among them, unless the
 // key was changed after that revision.
-func (s *Store) Replace(now time.Time, revision modeler.Revision, values []Value) (refused []Refusal, changed bool) {
+func (s *Store) Replace(now time.Time, revision modeler.Revision, values []Value) Result {
 	listed := make(map[string]bool, len(values))
 	for _, v := range values {
 		listed[v.Key] = true
@@ -145,23 +134,27 @@
 	}
 }
 
-func (s *Store) offer(now, changedSince time.Time, v Value) (*Refusal, bool) {
+// offer accepts or refuses one value, and counts it in out. The caller holds the lock.
+func (s *Store) offer(now, changedSince time.Time, v Value, out *Result) {
 	e := s.entries[v.Key]
 	if e == nil {
 		e = &entry{}
 		s.entries[v.Key] = e
 	}
 	if !s.supersedes(v.Revision, e.acceptedValue.Revision) || v.Revision == e.refusedValue.Revision {
-		return nil, false
+		out.countUnused(v, e.acceptedValue.Revision)
+		return
 	}
 	parsed, err := s.parse(v)
 	if err != nil {
 		if v.Revision < e.refusedValue.Revision {
-			return nil, false
+			return
 		}
 		e.refusedValue, e.refusalReason = v, shorten(err.Error())
-		return &Refusal{v.Key, v.Revision, e.refusalReason}, false
+		out.Refused = append(out.Refused, Refusal{v.Key, v.Revision, e.refusalReason})
+		return
 	}
+	out.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
 	e.holdRegistration(now, parsed, s.usableUntil(now, changedSince, parsed))
 	e.acceptedValue, e.configuration = v, parsed
 	e.deletedAt = time.Time{}
@@ -169,9 +162,8 @@
 		e.deletedAt = now
 	}
 	if parsed.Ignored != "" {
-		return &Refusal{v.Key, v.Revision, shorten(parsed.Ignored)}, true
+		out.Refused = append(out.Refused, Refusal{v.Key, v.Revision, shorten(parsed.Ignored)})
 	}
-	return nil, true
 }
 
 // shorten returns the reason of a refusal without what exceeds maxReasonBytes: it may quote a long value.
--- a/configurer/store_test.go
+++ b/configurer/store_test.go
@@ -181,8 +181,8 @@
 			defer b.ReportMetric(float64(len(text))/float64(searchers), "text-bytes/searcher")
 			for b.Loop() {
 				rev++
-				if refused, _ := s.Offer(now, rev, []Value{{"k", rev, text}}); len(refused) > 0 {
-					b.Fatal(refused)
+				if res := s.Offer(now, rev, []Value{{"k", rev, text}}); len(res.Refused) > 0 {
+					b.Fatal(res.Refused)
 				}
 			}
 		})
@@ -196,7 +196,7 @@
 		func(string, []byte) (modeler.Configuration, error) { return modeler.Configuration{Ignored: long}, nil },
 		func(string, []byte) (modeler.Configuration, error) { return modeler.Configuration{}, errors.New(long) },
 	} {
-		refused, _ := NewStore(WithDecode(decode)).Offer(time.Now(), 1, []Value{{"k", 1, []byte("x")}})
+		refused := NewStore(WithDecode(decode)).Offer(time.Now(), 1, []Value{{"k", 1, []byte("x")}}).Refused
 		if len(refused) != 1 || len(refused[0].Reason) > 400 || !utf8.ValidString(refused[0].Reason) {
 			t.Errorf("the value is refused %d times, want once with a short reason of valid UTF-8", len(refused))
 		}
--- a/modeler/names.go
+++ b/modeler/names.go
@@ -33,9 +33,6 @@
 // SnapshotID identifies a snapshot within its index; a newer snapshot has a greater id.
 type SnapshotID uint64
 
-// Revision is the number that the platform gives to each change of a stored value; a later change has a greater one.
-type Revision uint64
-
 // ParseName checks a name. It returns an error unless s has 1 to MaxNameLength bytes, all of them lower-case letters,
 // digits, '-' or '.'.
 func ParseName(s string) error {
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -59,17 +59,23 @@
 	for _, w := range res.GetValues() {
 		values = append(values, configurer.Value{Key: w.GetKey(), Revision: modeler.Revision(w.GetRevision()), Text: w.GetText()})
 	}
-	v.applyOffer(v.store.Offer(time.Now(), modeler.Revision(res.GetHead()), values))
+	v.applyOffer(v.store.Offer(time.Now(), modeler.Revision(res.GetHead()), values), a.String())
 }
 
-// applyOffer takes the results of configurer.Store.Offer. It logs the refusals, puts a changed configuration in force,
-// and announces the revision to the other VMs.
-func (v *VM) applyOffer(refused []configurer.Refusal, changed bool) {
-	for _, r := range refused {
+// sourcePlatform is the source of a configuration that this VM has read from the platform, not from another VM.
+const sourcePlatform = "platform"
+
+// applyRead applies the result of an offer of values that this VM has read from the platform.
+func (v *VM) applyRead(res configurer.Result) { v.applyOffer(res, sourcePlatform) }
+
+// applyOffer takes the result of configurer.Store.Offer. It logs the refusals, puts a changed configuration in force,
+// and announces the revision to the other VMs. The source is the address of the VM that had the values, or sourcePlatform.
+func (v *VM) applyOffer(res configurer.Result, source string) {
+	for _, r := range res.Refused {
 		klog.Warningf("configuration: refused key %s at revision %d: %s", r.Key, r.Revision, r.Reason)
 		v.recorder.Record(recorder.Event{Kind: recorder.ConfigurationRefused, Detail: r.Key + ": " + r.Reason})
 	}
-	rev := v.updateView(changed)
+	rev := v.updateView(res.Changed(), source)
 	v.gossip.SetHead(rev)
 }
 
@@ -83,7 +89,7 @@
 
 // updateView builds the view of the accepted values if they changed or there is no view yet, and returns their
 // revision. Builds are serialized, so that an earlier view never replaces a later one.
-func (v *VM) updateView(changed bool) modeler.Revision {
+func (v *VM) updateView(changed bool, source string) modeler.Revision {
 	v.viewMu.Lock()
 	defer v.viewMu.Unlock()
 	rev, values := v.store.InForce()
@@ -96,6 +102,6 @@
 	v.shares.reset()
 	v.admitter.SetShares(view.Teams)
 	v.recorder.Record(recorder.Event{Kind: recorder.ConfigurationAccepted, Detail: revisionText(rev)})
-	klog.InfoS("configuration: in force", "revision", uint64(rev), "services", len(view.Services), "searchers", len(view.Searchers))
+	klog.InfoS("configuration: in force", "revision", uint64(rev), "services", len(view.Services), "searchers", len(view.Searchers), "source", source)
 	return rev
 }
--- a/runner/configuration_test.go
+++ b/runner/configuration_test.go
@@ -39,7 +39,7 @@
 	}
 	var wg sync.WaitGroup
 	offer := func(rev int) {
-		v.applyOffer(v.store.Offer(time.Now(), modeler.Revision(rev), []configurer.Value{valueOf(rev)}))
+		v.applyRead(v.store.Offer(time.Now(), modeler.Revision(rev), []configurer.Value{valueOf(rev)}))
 	}
 	wg.Go(func() { offer(1) })
 	<-firstBuild
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -59,13 +59,20 @@
 	v.cfg.Links = append(v.cfg.Links, planner.LinksFrom(v.cfg.FailureDomain, r.Regions)...)
 	v.storeClient = platform.NewStore(local, r.Store, func() { v.platformCalls.Add(1) })
 	v.follower = &watcher.Follower{
-		List: v.storeClient.List, Watch: v.storeClient.Watch, Store: v.store, Changed: v.applyOffer, Confirm: func(at time.Time) { v.gossip.Confirm(at) },
+		List: v.storeClient.List, Watch: v.storeClient.Watch, Store: v.store, Changed: v.applyRead, Confirm: func(at time.Time) { v.gossip.Confirm(at) },
+		Listed:   v.countList,
 		IsReader: v.isStoreReader, OnStepFailed: v.announceStoreLoss,
 	}
 	v.scatterer.Windows = v.newWindows()
 	v.scatterer.Shedder = shedder.NewShedder()
 }
 
+// countList counts a whole list of the store, and the values in it that were older than what this VM held.
+func (v *VM) countList(res configurer.Result) {
+	v.counter("store.lists").Inc(1)
+	v.counter("store.values-older").Inc(int64(res.Older))
+}
+
 // newWindows returns the windows that bound the extra attempts of this VM.
 func (v *VM) newWindows() *limiter.Windows {
 	r := v.cfg.Routing
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -178,7 +178,7 @@
 	v.store = configurer.NewStore(append(v.storeOptions(), v.mechanisms.Store...)...)
 	v.platformClient = watcher.NewClient(v.cfg.Platform, func() { v.platformCalls.Add(1) })
 	v.watcher = &watcher.Watcher{
-		Client: v.platformClient, Store: v.store, IsReader: v.isReader, VMCount: v.fleetSize, Changed: v.applyOffer, Listed: v.handleListing,
+		Client: v.platformClient, Store: v.store, IsReader: v.isReader, VMCount: v.fleetSize, Changed: v.applyRead, Listed: v.handleListing,
 	}
 	if v.cfg.Routing != nil {
 		v.buildRouting(local)
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -23,7 +23,7 @@
 type Page struct {
 	Values   []configurer.Value
 	More     bool             // whether a list has more pages
-	Revision modeler.Revision // the revision of the platform's store at the time of the answer
+	Position modeler.Position // of the platform's store at the time of the answer
 }
 
 // Limits on the reads of the platform's store.
@@ -48,13 +48,16 @@
 	// Watch reads the changes after a revision and waits for one if there is none yet.
 	Watch        func(ctx context.Context, after modeler.Revision, wait time.Duration) (Page, error)
 	Store        *configurer.Store
-	Confirm      func(at time.Time)                               // called when Store was found to have every change until then
-	IsReader     func() bool                                      // whether this VM reads the platform's store
-	OnStepFailed func()                                           // called after each failed step
-	Changed      func(refused []configurer.Refusal, changed bool) // called with the results of each change of Store
+	Confirm      func(at time.Time)      // called when Store was found to have every change until then
+	IsReader     func() bool             // whether this VM reads the platform's store
+	OnStepFailed func()                  // called after each failed step
+	Changed      func(configurer.Result) // called with the result of each change of Store
+	Listed       func(configurer.Result) // called with the result of each list; nil if not needed
 
-	storeLost bool             // whether the last step failed
-	cursor    modeler.Revision // the next watch asks for the changes after this revision
+	storeLost   bool             // whether the last step failed
+	cursor      modeler.Revision // the next watch asks for the changes after this revision
+	watchedAt   time.Time        // when a watch last had an answer with all changes after the cursor
+	historyLost int              // watches in a row whose changes the store did not have
 }
 
 // Run lists and watches while this VM is a reader, until the context ends.
@@ -85,20 +88,21 @@
 	defer spawner.Recover("store", &err)
 	f.cursor = max(f.cursor, f.Store.Head())
 	if f.Store.Head() == 0 {
-		return f.list(ctx)
+		return f.list(ctx, modeler.Position{})
 	}
 	sent := time.Now()
 	p, err := f.Watch(ctx, f.cursor, StoreWait)
 	if errors.Is(err, ErrHistoryLost) {
-		klog.InfoS("store: history lost", "revision", f.cursor)
-		return f.list(ctx)
+		f.historyLost++
+		return f.list(ctx, p.Position)
 	}
 	if err != nil {
 		return err
 	}
-	f.cursor = max(f.cursor, p.Revision)
+	f.watchedAt, f.historyLost = time.Now(), 0
+	f.cursor = max(f.cursor, p.Position.Revision)
 	if len(p.Values) > 0 {
-		f.Changed(f.Store.Offer(time.Now(), p.Revision, p.Values))
+		f.Changed(f.Store.Offer(time.Now(), p.Position.Revision, p.Values))
 		f.Confirm(sent)
 		return nil
 	}
@@ -114,10 +118,12 @@
 }
 
 // list reads pages until the last one, an empty one or the limit maxPages, which is not an error. A key that the VM's
-// store has and the pages read lack counts as deleted, unless it was changed after the revision of the first page.
-func (f *Follower) list(ctx context.Context) error {
+// store has and the pages read lack counts as deleted, unless it was changed after the revision of the first page. lostAt is
+// the position of the store in the answer that led to the list.
+func (f *Follower) list(ctx context.Context, lostAt modeler.Position) error {
 	var all []configurer.Value
-	var firstRevision modeler.Revision
+	var first modeler.Position
+	held := f.Store.Head()
 	after := ""
 	sent := time.Now()
 	for n := range maxPages {
@@ -126,9 +132,9 @@
 			return err
 		}
 		if n == 0 {
-			firstRevision = p.Revision
+			first = p.Position
 		}
-		if p.Revision < firstRevision {
+		if p.Position.Revision < first.Revision {
 			return errPageOfEarlierList
 		}
 		all = append(all, p.Values...)
@@ -137,12 +143,30 @@
 		}
 		after = p.Values[len(p.Values)-1].Key
 	}
-	f.Changed(f.Store.Replace(time.Now(), firstRevision, all))
-	f.cursor = firstRevision
+	res := f.Store.Replace(time.Now(), first.Revision, all)
+	f.logList(&res, lostAt, first, held, len(all))
+	f.Changed(res)
+	f.cursor = first.Revision
 	f.Confirm(sent)
 	return nil
 }
 
+// logList logs what the store answered and what became of a list's values. The positions are those of the store in the
+// watch that failed and in the first page, and the revision that this VM held before.
+func (f *Follower) logList(res *configurer.Result, lostAt, first modeler.Position, held modeler.Revision, values int) {
+	behind := time.Duration(0)
+	if !f.watchedAt.IsZero() {
+		behind = time.Since(f.watchedAt)
+	}
+	klog.InfoS("store: listed", "history-lost", f.historyLost, "cursor", uint64(f.cursor), "held", uint64(held),
+		"watch-epoch", uint64(lostAt.Epoch), "watch-at", uint64(lostAt.Revision), "epoch", uint64(first.Epoch), "at", uint64(first.Revision),
+		"values", values, "added", res.Added, "replaced", res.Replaced, "removed", res.Removed, "older", res.Older, "refused", len(res.Refused),
+		"older-key", res.Unused.Key, "older-offered", uint64(res.Unused.Offered), "older-held", uint64(res.Unused.Held), "behind-ms", behind.Milliseconds())
+	if f.Listed != nil {
+		f.Listed(*res)
+	}
+}
+
 // logStoreState logs when the platform's store is lost (a step failed) or regained (the next step that succeeded).
 func (f *Follower) logStoreState(err error) {
 	if lost := err != nil; lost != f.storeLost {
--- a/watcher/follower_test.go
+++ b/watcher/follower_test.go
@@ -15,20 +15,20 @@
 	value := func(key string, r modeler.Revision) configurer.Value {
 		return configurer.Value{Key: key, Revision: r, Text: []byte("x")}
 	}
-	second := Page{Values: []configurer.Value{value("c", 5)}, Revision: 6} // from before b was written
+	second := Page{Values: []configurer.Value{value("c", 5)}, Position: modeler.Position{Revision: 6}} // from before b was written
 	f := &Follower{
 		Store: configurer.NewStore(configurer.WithDecode(func(string, []byte) (modeler.Configuration, error) {
 			return modeler.Configuration{}, nil
 		})),
 		List: func(_ context.Context, after string) (Page, error) {
 			if after == "" {
-				return Page{Values: []configurer.Value{value("a", 3)}, More: true, Revision: 9}, nil
+				return Page{Values: []configurer.Value{value("a", 3)}, More: true, Position: modeler.Position{Revision: 9}}, nil
 			}
 			return second, nil
 		},
 		Watch:   func(context.Context, modeler.Revision, time.Duration) (Page, error) { return Page{}, ErrHistoryLost },
 		Confirm: func(time.Time) {},
-		Changed: func([]configurer.Refusal, bool) {},
+		Changed: func(configurer.Result) {},
 	}
 	f.Store.Offer(time.Now(), 8, []configurer.Value{value("b", 7)})
 	if err := f.Step(t.Context()); err == nil {
@@ -46,7 +46,7 @@
 	if deleted() {
 		t.Error("a key was deleted that only the earlier list lacks")
 	}
-	second.Revision = 9
+	second.Position.Revision = 9
 	if err := f.Step(t.Context()); err != nil || !deleted() {
 		t.Errorf("error %v, key deleted: %v; want the list used, which lacks the key", err, deleted())
 	}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -14,10 +14,10 @@
 type Watcher struct {
 	Client   *Client
 	Store    *configurer.Store
-	IsReader func() bool                                      // whether this VM holds a watch; other VMs poll
-	VMCount  func() int                                       // the number of VMs in the fleet
-	Changed  func(refused []configurer.Refusal, changed bool) // called with the results of each Store.Offer
-	Listed   func(modeler.Listing)                            // called with each list of VMs
+	IsReader func() bool             // whether this VM holds a watch; other VMs poll
+	VMCount  func() int              // the number of VMs in the fleet
+	Changed  func(configurer.Result) // called with the result of each Store.Offer
+	Listed   func(modeler.Listing)   // called with each list of VMs
 }
 
 // Run refreshes the store, by watching or by polling, until the context ends.
@@ -70,7 +70,6 @@
 		}
 		values = append(values, v)
 	}
-	refused, changed := w.Store.Offer(time.Now(), d.Revision, values)
-	w.Changed(refused, changed)
+	w.Changed(w.Store.Offer(time.Now(), d.Revision, values))
 	return nil
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -57,7 +57,7 @@
 			t.Cleanup(client.Close)
 			w := &Watcher{
 				Client: client, Store: configurer.NewStore(), IsReader: func() bool { return true }, VMCount: func() int { return 1 },
-				Changed: func([]configurer.Refusal, bool) {},
+				Changed: func(configurer.Result) {},
 			}
 			ctx, cancel := context.WithCancel(t.Context())
 			done := spawner.Go(ctx, w.Run)
