--- a/configurer/reader_test.go
+++ b/configurer/reader_test.go
@@ -51,8 +51,8 @@
 	}
 	for _, tt := range tests {
 		s := NewStore(WithDecode(decodeLine), WithHold(hold, lapse), WithConfirmedAt(func() time.Time { return now.Add(-tt.unconfirmed) }))
-		s.Offer(now, 1, []Value{{"servers/a", 1, []byte("ready")}})
-		s.Offer(now, 2, []Value{{"servers/a", 2, []byte(tt.next)}})
+		s.Offer(now, at(1), []Value{{"servers/a", at(1), []byte("ready")}})
+		s.Offer(now, at(2), []Value{{"servers/a", at(2), []byte(tt.next)}})
 		_, configurations := s.InForce()
 		var until time.Time
 		for _, c := range configurations {
--- a/configurer/registration.go
+++ b/configurer/registration.go
@@ -1,6 +1,7 @@
 package configurer
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -18,14 +19,28 @@
 	deletedAt         time.Time // zero unless acceptedValue deleted the key
 }
 
-// usableUntil returns until when a searcher that the next value no longer registers as ready may be sent requests, if the
-// value has changed since the given time.
-func (s *Store) usableUntil(now, changedSince time.Time, next modeler.Configuration) time.Time {
+// latest returns the position of the last value that was accepted or refused.
+func (e *entry) latest() modeler.Position {
+	if e.refusedValue.Position.After(e.acceptedValue.Position) {
+		return e.refusedValue.Position
+	}
+	return e.acceptedValue.Position
+}
+
+// isRenewed reports whether a value is the one held, as a later epoch has it: the position is news, the text isn't.
+func (e *entry) isRenewed(v Value) bool {
+	held := e.acceptedValue
+	return v.Position.Epoch > held.Position.Epoch && len(v.Text) > 0 && bytes.Equal(v.Text, held.Text)
+}
+
+// usableUntil returns until when a searcher that the next value no longer registers as ready may be sent requests. A
+// registration that a new epoch lacks counts as lapsed: its searcher may write it again.
+func (s *Store) usableUntil(o *offer, next modeler.Configuration) time.Time {
 	deleted := len(next.Registrations) == 0
-	if deleted && now.Sub(changedSince) >= s.lapsePeriod {
-		return now.Add(s.holdPeriod)
+	if deleted && (o.newEpoch || o.now.Sub(o.changedSince) >= s.lapsePeriod) {
+		return o.now.Add(s.holdPeriod)
 	}
-	return changedSince.Add(s.holdPeriod)
+	return o.changedSince.Add(s.holdPeriod)
 }
 
 // holdRegistration keeps a searcher in use until the given time when the next value no longer registers it as ready.
--- a/configurer/registration_test.go
+++ b/configurer/registration_test.go
@@ -65,7 +65,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := NewStore(WithDecode(decodeLine), WithHold(hold, time.Second))
 			for i, text := range tt.texts {
-				s.Offer(time.Now(), modeler.Revision(i+1), []Value{{"servers/a", modeler.Revision(i + 1), []byte(text)}})
+				s.Offer(time.Now(), at(i+1), []Value{{"servers/a", at(i + 1), []byte(text)}})
 			}
 			if ready, leaving := countRegistrations(s); [2]int{ready, leaving} != tt.duringHold {
 				t.Errorf("%d ready and %d leaving searchers during the hold period, want duringHold of the test case", ready, leaving)
@@ -81,12 +81,12 @@
 func TestReplaceDeletesWhatIsMissing(t *testing.T) {
 	now := time.Now()
 	s := NewStore(WithDecode(decodeLine))
-	s.Offer(now, 9, []Value{{"servers/a", 1, []byte("ready")}, {"servers/b", 2, []byte("ready")}, {"servers/c", 9, []byte("ready")}})
-	s.Replace(now, 5, []Value{{"servers/a", 1, []byte("ready")}})
+	s.Offer(now, at(9), []Value{{"servers/a", at(1), []byte("ready")}, {"servers/b", at(2), []byte("ready")}, {"servers/c", at(9), []byte("ready")}})
+	s.Replace(now, at(5), []Value{{"servers/a", at(1), []byte("ready")}})
 	if ready, _ := countRegistrations(s); ready != 2 {
 		t.Errorf("%d searchers are ready, want 2: the listed one and the one registered after the list's revision", ready)
 	}
-	if res := s.Offer(now, 10, []Value{{"servers/b", 2, []byte("ready")}}); res.Changed() {
+	if res := s.Offer(now, at(10), []Value{{"servers/b", at(2), []byte("ready")}}); res.Changed() {
 		t.Error("a deleted value was accepted again at its old revision")
 	}
 }
@@ -94,7 +94,7 @@
 func TestPruneForgetsOldDeletions(t *testing.T) {
 	now := time.Now()
 	s := NewStore(WithDecode(decodeLine))
-	s.Offer(now, 3, []Value{{"servers/a", 1, []byte("ready")}, {"servers/b", 3, nil}})
+	s.Offer(now, at(3), []Value{{"servers/a", at(1), []byte("ready")}, {"servers/b", at(3), nil}})
 	s.Prune(now.Add(-time.Minute))
 	if n := s.State().Keys; n != 2 {
 		t.Errorf("%d keys after Prune before the deletion time, want 2", n)
--- a/configurer/result.go
+++ b/configurer/result.go
@@ -5,6 +5,7 @@
 // Refusal names a value that failed the content check, or was accepted although the tier ignores it, and the reason.
 type Refusal struct {
 	Key      string           `json:"key"`
+	Epoch    modeler.Epoch    `json:"epoch"`
 	Revision modeler.Revision `json:"revision"`
 	Reason   string           `json:"reason"`
 }
@@ -17,18 +18,31 @@
 	Removed  int // keys that were deleted
 	Older    int // values that were not used because the Store held later ones
 	Unused   Unused
+	Before   modeler.Position // head of the Store before the offer
+	After    modeler.Position // head of the Store after the offer
 }
 
 // Unused is the first value in an offer that was older than the one that the Store held.
 type Unused struct {
 	Key     string
-	Offered modeler.Revision
-	Held    modeler.Revision
+	Offered modeler.Position
+	Held    modeler.Position
 }
 
 // Changed reports whether the configuration in force changed.
 func (r *Result) Changed() bool { return r.Added+r.Replaced+r.Removed > 0 }
 
+// NewEpoch reports whether the offer replaced the values of an earlier epoch.
+func (r *Result) NewEpoch() bool { return !r.Before.IsZero() && r.After.Epoch > r.Before.Epoch }
+
+func newRefusal(v Value, reason string) Refusal {
+	return Refusal{v.Key, v.Position.Epoch, v.Position.Revision, reason}
+}
+
+func (r *Result) addRefusal(v Value, reason string) {
+	r.Refused = append(r.Refused, newRefusal(v, reason))
+}
+
 func (r *Result) countAccepted(hadText, hasText bool) {
 	switch {
 	case hadText && !hasText:
@@ -40,12 +54,12 @@
 	}
 }
 
-func (r *Result) countUnused(v Value, held modeler.Revision) {
-	if v.Revision >= held {
+func (r *Result) countUnused(v Value, held modeler.Position) {
+	if !held.After(v.Position) {
 		return // the value is known already
 	}
 	if r.Older == 0 {
-		r.Unused = Unused{v.Key, v.Revision, held}
+		r.Unused = Unused{v.Key, v.Position, held}
 	}
 	r.Older++
 }
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -1,7 +1,6 @@
 package configurer
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 	"strings"
@@ -20,11 +19,11 @@
 // maxReasonBytes bounds the reason of a refusal, which is logged and shown to operators.
 const maxReasonBytes = 300
 
-// Value is the text that the platform's configuration service, or the platform's store, has under a key at a revision.
+// Value is the text that the platform's configuration service, or the platform's store, has under a key at a position.
 // An empty text deletes the key.
 type Value struct {
 	Key      string
-	Revision modeler.Revision
+	Position modeler.Position
 	Text     []byte
 }
 
@@ -32,9 +31,9 @@
 type Store struct {
 	mu         sync.Mutex
 	entries    map[string]*entry
-	head       modeler.Revision
+	head       modeler.Position
 	changedAt  time.Time
-	supersedes func(offered, held modeler.Revision) bool
+	supersedes func(offered, held modeler.Position) bool
 	decode     func(key string, text []byte) (modeler.Configuration, error)
 	holdPeriod time.Duration
 	// lapsePeriod is how long the store must have been out of reach for a missing registration to count as lapsed.
@@ -45,9 +44,9 @@
 // Option changes a Store under construction.
 type Option func(*Store)
 
-// WithRevisionOrder sets the rule that decides whether an offered revision replaces the held revision. Tests use it to
-// switch off the protection against older revisions.
-func WithRevisionOrder(f func(offered, held modeler.Revision) bool) Option {
+// WithOrder sets the rule that decides whether an offered position replaces the held one. Tests use it to switch off the
+// protection against older values.
+func WithOrder(f func(offered, held modeler.Position) bool) Option {
 	return func(s *Store) { s.supersedes = f }
 }
 
@@ -71,7 +70,7 @@
 func NewStore(options ...Option) *Store {
 	s := &Store{
 		entries:    map[string]*entry{},
-		supersedes: func(offered, held modeler.Revision) bool { return offered > held },
+		supersedes: modeler.Position.After,
 		decode:     decodeNative,
 
 		confirmedAt: func() time.Time { return time.Time{} },
@@ -83,43 +82,66 @@
 }
 
 // Offer accepts or refuses values. Together with the values already in the store they must cover every change up to the
-// head revision.
-func (s *Store) Offer(now time.Time, head modeler.Revision, values []Value) Result {
-	var out Result
-	changedSince := s.confirmedAt()
-	if changedSince.IsZero() || changedSince.After(now) {
-		changedSince = now
+// head. If the head is of a later epoch than the store's, they must be all values of that epoch, and replace those held as
+// Replace does.
+func (s *Store) Offer(now time.Time, head modeler.Position, values []Value) Result {
+	return s.accept(now, head, values, false)
+}
+
+// Replace offers all values that the platform had at a position. It deletes each key that is not among them, unless the
+// key was changed after that position. It does nothing if the store holds values of a later epoch.
+func (s *Store) Replace(now time.Time, at modeler.Position, values []Value) Result {
+	return s.accept(now, at, values, true)
+}
+
+// accept offers values; whole says that they are all values at the head.
+func (s *Store) accept(now time.Time, head modeler.Position, values []Value, whole bool) Result {
+	o := &offer{now: now, changedSince: s.confirmedAt()}
+	if o.changedSince.IsZero() || o.changedSince.After(now) {
+		o.changedSince = now
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	o.Before, o.After = s.head, s.head
+	if whole && head.Epoch < s.head.Epoch {
+		return o.Result
+	}
+	o.newEpoch = !s.head.IsZero() && head.Epoch > s.head.Epoch
+	if whole || o.newEpoch {
+		values = append(slices.Clip(values), s.missing(head, values)...)
+	}
 	for _, v := range values {
-		s.offer(now, changedSince, v, &out)
+		s.acceptOne(o, v)
 	}
 	if s.supersedes(head, s.head) {
-		s.head = head
+		s.head, o.After = head, head
 	}
-	if out.Changed() {
+	if o.Changed() {
 		s.changedAt = now
 	}
-	return out
+	return o.Result
 }
 
-// Replace offers all values that the platform had at a revision. It deletes each key that is not among them, unless the
-// key was changed after that revision.
-func (s *Store) Replace(now time.Time, revision modeler.Revision, values []Value) Result {
+// missing returns the deletions of the keys that the store holds and that are not among all values at the position.
+func (s *Store) missing(at modeler.Position, values []Value) []Value {
 	listed := make(map[string]bool, len(values))
 	for _, v := range values {
 		listed[v.Key] = true
 	}
-	s.mu.Lock()
+	var out []Value
 	for k, e := range s.entries {
-		// An entry whose accepted revision is 0 has only had a refused value; the key is deleted as well.
-		if !listed[k] && e.acceptedValue.Revision <= revision && (len(e.acceptedValue.Text) > 0 || e.acceptedValue.Revision == 0) {
-			values = append(values, Value{Key: k, Revision: max(revision, e.acceptedValue.Revision+1)})
+		held := e.acceptedValue.Position
+		// An entry without an accepted position has only had a refused value; the key is deleted as well.
+		if listed[k] || held.After(at) || (len(e.acceptedValue.Text) == 0 && !held.IsZero()) {
+			continue
+		}
+		deleted := at
+		if deleted == held {
+			deleted.Revision++ // the platform deleted the key after the first page of its list
 		}
+		out = append(out, Value{Key: k, Position: deleted})
 	}
-	s.mu.Unlock()
-	return s.Offer(now, revision, values)
+	return out
 }
 
 // Prune removes the keys that were deleted before the given time.
@@ -134,36 +156,53 @@
 	}
 }
 
-// offer accepts or refuses one value, and counts it in out. The caller holds the lock.
-func (s *Store) offer(now, changedSince time.Time, v Value, out *Result) {
+// offer is a set of values on their way into the store.
+type offer struct {
+	now          time.Time
+	changedSince time.Time // since when the values may have changed
+	newEpoch     bool      // whether they replace values of an earlier epoch
+	Result
+}
+
+// acceptOne accepts or refuses one value, and counts it in o. The caller holds the lock.
+func (s *Store) acceptOne(o *offer, v Value) {
 	e := s.entries[v.Key]
 	if e == nil {
 		e = &entry{}
 		s.entries[v.Key] = e
 	}
-	if !s.supersedes(v.Revision, e.acceptedValue.Revision) || v.Revision == e.refusedValue.Revision {
-		out.countUnused(v, e.acceptedValue.Revision)
+	if !s.supersedes(v.Position, e.acceptedValue.Position) || v.Position == e.refusedValue.Position {
+		o.countUnused(v, e.acceptedValue.Position)
+		return
+	}
+	if e.isRenewed(v) {
+		e.acceptedValue.Position = v.Position
 		return
 	}
 	parsed, err := s.parse(v)
 	if err != nil {
-		if v.Revision < e.refusedValue.Revision {
-			return
-		}
-		e.refusedValue, e.refusalReason = v, shorten(err.Error())
-		out.Refused = append(out.Refused, Refusal{v.Key, v.Revision, e.refusalReason})
+		s.refuse(o, e, v, err)
 		return
 	}
-	out.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
-	e.holdRegistration(now, parsed, s.usableUntil(now, changedSince, parsed))
+	o.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
+	e.holdRegistration(o.now, parsed, s.usableUntil(o, parsed))
 	e.acceptedValue, e.configuration = v, parsed
 	e.deletedAt = time.Time{}
 	if len(v.Text) == 0 {
-		e.deletedAt = now
+		e.deletedAt = o.now
 	}
 	if parsed.Ignored != "" {
-		out.Refused = append(out.Refused, Refusal{v.Key, v.Revision, shorten(parsed.Ignored)})
+		o.addRefusal(v, shorten(parsed.Ignored))
+	}
+}
+
+// refuse records that a value failed the check, unless a later one did.
+func (s *Store) refuse(o *offer, e *entry, v Value, err error) {
+	if e.refusedValue.Position.After(v.Position) {
+		return
 	}
+	e.refusedValue, e.refusalReason = v, shorten(err.Error())
+	o.addRefusal(v, e.refusalReason)
 }
 
 // shorten returns the reason of a refusal without what exceeds maxReasonBytes: it may quote a long value.
@@ -189,31 +228,32 @@
 	return parser.Decode[modeler.Configuration](key, text)
 }
 
-// Head returns the revision up to which the store has every change.
-func (s *Store) Head() modeler.Revision {
+// Head returns the position up to which the store has every change.
+func (s *Store) Head() modeler.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.head
 }
 
-// Delta returns the head and all values, accepted and refused, of a later revision than since.
-func (s *Store) Delta(since modeler.Revision) (modeler.Revision, []Value) {
+// Delta returns the head and all values, accepted and refused, of a later position than since. If since is of an earlier
+// epoch than the head, these are all values of the head's epoch.
+func (s *Store) Delta(since modeler.Position) (modeler.Position, []Value) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Value
 	for _, e := range s.entries {
 		for _, v := range []Value{e.acceptedValue, e.refusedValue} {
-			if v.Revision > since {
+			if v.Position.After(since) {
 				out = append(out, v)
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b Value) int { return cmp.Compare(a.Revision, b.Revision) })
+	slices.SortFunc(out, func(a, b Value) int { return a.Position.Compare(b.Position) })
 	return s.head, out
 }
 
 // InForce returns the head and the configurations in force, sorted by key.
-func (s *Store) InForce() (modeler.Revision, []modeler.Configuration) {
+func (s *Store) InForce() (modeler.Position, []modeler.Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make([]modeler.Configuration, 0, len(s.entries))
@@ -225,6 +265,7 @@
 
 // State summarizes the configuration in force for operators.
 type State struct {
+	Epoch    modeler.Epoch    `json:"epoch"`
 	Revision modeler.Revision `json:"revision"`
 	Digest   uint64           `json:"digest"`
 	Keys     int              `json:"keys"`
@@ -237,18 +278,19 @@
 func (s *Store) State() State {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := State{Revision: s.head, Keys: len(s.entries), Since: s.changedAt}
+	st := State{Epoch: s.head.Epoch, Revision: s.head.Revision, Keys: len(s.entries), Since: s.changedAt}
 	var d xxhash.Digest
 	d.Reset()
 	for _, k := range s.sortedKeys() {
 		e := s.entries[k]
-		var rev [8]byte
-		binary.LittleEndian.PutUint64(rev[:], uint64(e.acceptedValue.Revision))
+		var position [16]byte
+		binary.LittleEndian.PutUint64(position[:], uint64(e.acceptedValue.Position.Revision))
+		binary.LittleEndian.PutUint64(position[8:], uint64(e.acceptedValue.Position.Epoch))
 		_, _ = d.WriteString(k)
-		_, _ = d.Write(rev[:])
+		_, _ = d.Write(position[:])
 		_, _ = d.Write(e.acceptedValue.Text)
-		if e.refusedValue.Revision > e.acceptedValue.Revision {
-			st.Refused = append(st.Refused, Refusal{k, e.refusedValue.Revision, e.refusalReason})
+		if e.refusedValue.Position.After(e.acceptedValue.Position) {
+			st.Refused = append(st.Refused, newRefusal(e.refusedValue, e.refusalReason))
 		}
 	}
 	st.Digest = d.Sum64()
@@ -263,7 +305,7 @@
 	var keys []string
 	for k, r := range directory {
 		e := s.entries[k]
-		if e == nil || s.supersedes(r, max(e.acceptedValue.Revision, e.refusedValue.Revision)) {
+		if e == nil || s.supersedes(modeler.Position{Revision: r}, e.latest()) {
 			keys = append(keys, k)
 		}
 	}
--- a/configurer/store_test.go
+++ b/configurer/store_test.go
@@ -26,19 +26,22 @@
 
 var now = time.Unix(1_800_000_000, 0)
 
+// at returns the position of a revision in epoch 0.
+func at(rev int) modeler.Position { return modeler.Position{Revision: modeler.Revision(rev)} }
+
 // value returns a valid value with one team.
 func value(key string, rev int, team string) Value {
-	return Value{key, modeler.Revision(rev), []byte(fmt.Sprintf(`{"teams": [{"name": %q, "share": 0.5}]}`, team))}
+	return Value{key, at(rev), []byte(fmt.Sprintf(`{"teams": [{"name": %q, "share": 0.5}]}`, team))}
 }
 
 func TestStore(t *testing.T) {
-	broken := Value{"a", 5, []byte(`{"teams": [{"name": "?"}]}`)}
+	broken := Value{"a", at(5), []byte(`{"teams": [{"name": "?"}]}`)}
 	tests := []struct {
 		name          string
 		offers        []Value
 		wantTeam      string
 		wantRefusals  int
-		revisionOrder func(offered, held modeler.Revision) bool
+		revisionOrder func(offered, held modeler.Position) bool
 	}{
 		{name: "newer revision replaces the older one", offers: []Value{value("a", 1, "one"), value("a", 2, "two")}, wantTeam: "two"},
 		{name: "older revision is ignored", offers: []Value{value("a", 2, "two"), value("a", 1, "one")}, wantTeam: "two"},
@@ -47,18 +50,18 @@
 		{name: "older valid value is accepted after a newer one was refused", offers: []Value{broken, value("a", 4, "four")}, wantTeam: "four", wantRefusals: 1},
 		{
 			name: "any different revision replaces the held one when the revision order is switched off", offers: []Value{value("a", 2, "two"), value("a", 1, "one")}, wantTeam: "one",
-			revisionOrder: func(offered, held modeler.Revision) bool { return offered != held },
+			revisionOrder: func(offered, held modeler.Position) bool { return offered != held },
 		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			var options []Option
 			if tt.revisionOrder != nil {
-				options = append(options, WithRevisionOrder(tt.revisionOrder))
+				options = append(options, WithOrder(tt.revisionOrder))
 			}
 			s := NewStore(options...)
 			for _, v := range tt.offers {
-				s.Offer(now, v.Revision, []Value{v})
+				s.Offer(now, v.Position, []Value{v})
 			}
 			_, configurations := s.InForce()
 			if got := string(configurations[0].Teams[0].Name); got != tt.wantTeam {
@@ -84,11 +87,11 @@
 			all = append(all, v)
 		}
 		want := NewStore()
-		want.Offer(now, all[len(all)-1].Revision, all)
+		want.Offer(now, all[len(all)-1].Position, all)
 		direct, peer := NewStore(), NewStore()
 		var highest modeler.Revision
 		for _, i := range rapid.Permutation(slices.Collect(indexes(len(all)))).Draw(t, "order") {
-			direct.Offer(now, 0, all[i:i+1])
+			direct.Offer(now, at(0), all[i:i+1])
 			head, values := direct.Delta(peer.Head())
 			peer.Offer(now, head, values)
 			if st := peer.State(); st.Revision < highest {
@@ -173,15 +176,15 @@
 			runtime.GC()
 			runtime.ReadMemStats(&before)
 			s := NewStore()
-			rev := modeler.Revision(1)
-			s.Offer(now, rev, []Value{{"k", rev, slices.Clone(text)}})
+			rev := 1
+			s.Offer(now, at(rev), []Value{{"k", at(rev), slices.Clone(text)}})
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			defer b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(searchers), "held-bytes/searcher")
 			defer b.ReportMetric(float64(len(text))/float64(searchers), "text-bytes/searcher")
 			for b.Loop() {
 				rev++
-				if res := s.Offer(now, rev, []Value{{"k", rev, text}}); len(res.Refused) > 0 {
+				if res := s.Offer(now, at(rev), []Value{{"k", at(rev), text}}); len(res.Refused) > 0 {
 					b.Fatal(res.Refused)
 				}
 			}
@@ -196,7 +199,7 @@
 		func(string, []byte) (modeler.Configuration, error) { return modeler.Configuration{Ignored: long}, nil },
 		func(string, []byte) (modeler.Configuration, error) { return modeler.Configuration{}, errors.New(long) },
 	} {
-		refused := NewStore(WithDecode(decode)).Offer(time.Now(), 1, []Value{{"k", 1, []byte("x")}}).Refused
+		refused := NewStore(WithDecode(decode)).Offer(time.Now(), at(1), []Value{{"k", at(1), []byte("x")}}).Refused
 		if len(refused) != 1 || len(refused[0].Reason) > 400 || !utf8.ValidString(refused[0].Reason) {
 			t.Errorf("the value is refused %d times, want once with a short reason of valid UTF-8", len(refused))
 		}
--- a/faker/without.go
+++ b/faker/without.go
@@ -62,7 +62,7 @@
 	case "proof":
 		m.Orderer = append(m.Orderer, orderer.WithProof(false))
 	case "order":
-		m.Store = append(m.Store, configurer.WithRevisionOrder(func(offered, held modeler.Revision) bool { return offered != held }))
+		m.Store = append(m.Store, configurer.WithOrder(func(offered, held modeler.Position) bool { return offered != held }))
 	case "refutation":
 		m.Node = append(m.Node, gossiper.WithRefutation(false))
 	case "backoff":
--- a/gossiper/confirm_test.go
+++ b/gossiper/confirm_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
 // confirm makes readers find their configurations complete, one after the other, once in each period.
@@ -34,7 +36,7 @@
 	for _, n := range []int{3, 9, 100} {
 		c := newCluster(n)
 		for _, x := range c.nodes {
-			c.deliver(x.SetHead(c.now, 7, nil))
+			c.deliver(x.SetHead(c.now, modeler.Position{Revision: 7}, nil))
 		}
 		late, checks := 0, 0
 		c.confirm(3*time.Second, 1200*time.Millisecond, 0, 1, 2)
@@ -59,9 +61,9 @@
 // Guards against a VM that counts its configuration as complete because another one, which holds a later one, is.
 func TestConfirmationOfALaterConfigurationIsNotTaken(t *testing.T) {
 	c := newCluster(3)
-	c.nodes[0].SetHead(c.now, 8, nil)
-	c.nodes[1].SetHead(c.now, 7, nil)
-	c.nodes[2].SetHead(c.now, 8, nil)
+	c.nodes[0].SetHead(c.now, modeler.Position{Revision: 8}, nil)
+	c.nodes[1].SetHead(c.now, modeler.Position{Revision: 7}, nil)
+	c.nodes[2].SetHead(c.now, modeler.Position{Revision: 8}, nil)
 	c.confirm(5*time.Second, time.Second, 0)
 	if at := c.nodes[1].ConfirmedAt(); !at.IsZero() {
 		t.Errorf("a VM with an earlier configuration counts as confirmed at %v", at)
--- /dev/null
+++ b/gossiper/epoch_test.go
@@ -0,0 +1,41 @@
+package gossiper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
+)
+
+// Guards against VMs that don't pull a later epoch because its revision is lower, or take an earlier one for confirmed.
+func TestEpochsOfPeers(t *testing.T) {
+	own := modeler.Position{Epoch: 2, Revision: 360}
+	tests := []struct {
+		name            string
+		head            modeler.Position
+		pull, confirmed bool
+	}{
+		{"later epoch, lower revision", modeler.Position{Epoch: 3, Revision: 7}, true, false},
+		{"later revision", modeler.Position{Epoch: 2, Revision: 361}, true, false},
+		{"same", own, false, true},
+		{"earlier revision", modeler.Position{Epoch: 2, Revision: 359}, false, true},
+		{"earlier epoch, higher revision", modeler.Position{Epoch: 1, Revision: 374}, false, false},
+		{"a VM that knows no epochs", modeler.Position{Revision: 374}, false, false},
+	}
+	for _, tt := range tests {
+		c := newCluster(2)
+		c.deliver(c.nodes[1].SetHead(c.now, own, nil))
+		from := c.nodes[0].Self()
+		out := c.nodes[1].Receive(c.now, &Packet{
+			Kind: Rumor, From: from.Name, Incarnation: from.Incarnation, Members: []Member{from}, Head: tt.head, Confirmed: true, ConfirmAge: time.Second,
+			Stamp: c.nodes[0].clock.Now(),
+		}, nil)
+		pulled := false
+		for _, a := range out {
+			pulled = pulled || a.Kind == ActionPull
+		}
+		if confirmed := !c.nodes[1].ConfirmedAt().IsZero(); pulled != tt.pull || confirmed != tt.confirmed {
+			t.Errorf("%s: pulled %v, confirmed %v; want %v, %v", tt.name, pulled, confirmed, tt.pull, tt.confirmed)
+		}
+	}
+}
--- a/gossiper/gossip.go
+++ b/gossiper/gossip.go
@@ -154,8 +154,8 @@
 	g.Do(func(n *Node, now time.Time, out []Action) []Action { return n.Broadcast(now, x, out) })
 }
 
-// SetHead spreads the configuration revision that this VM holds.
-func (g *Gossip) SetHead(head modeler.Revision) {
+// SetHead spreads up to which position this VM holds the configuration.
+func (g *Gossip) SetHead(head modeler.Position) {
 	g.Do(func(n *Node, now time.Time, out []Action) []Action { return n.SetHead(now, head, out) })
 }
 
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -133,9 +133,9 @@
 	n.fanOutsLeft = max(n.fanOutsLeft, rounds)
 }
 
-// SetHead records the configuration revision that this VM holds. A later revision than the last is spread at once.
-func (n *Node) SetHead(now time.Time, head modeler.Revision, out []Action) []Action {
-	if head <= n.head {
+// SetHead records up to which position this VM holds the configuration. A later position than the last is spread at once.
+func (n *Node) SetHead(now time.Time, head modeler.Position, out []Action) []Action {
+	if !head.After(n.head) {
 		return out
 	}
 	n.head = head
--- a/gossiper/node.go
+++ b/gossiper/node.go
@@ -84,7 +84,7 @@
 	rumors       []*rumor
 	news         map[newsKey]News
 	successors   map[ticketer.Incarnation]Successor // by the incarnation that left
-	head         modeler.Revision                   // the configuration revision that this VM holds
+	head         modeler.Position                   // up to which this VM holds the configuration
 	confirmedAt  time.Time                          // see Confirm
 	toldAt       time.Time                          // confirmedAt when this VM last told members of it
 	nextPull     time.Time
@@ -144,7 +144,7 @@
 		out = n.mergeNews(now, x, out)
 	}
 	out = n.pullIfBehind(now, p, out)
-	if p.Confirmed && p.Head <= n.head {
+	if p.Confirmed && p.Head.Epoch == n.head.Epoch && !p.Head.After(n.head) {
 		out = n.Confirm(now, now.Add(-p.ConfirmAge), out)
 	}
 	switch p.Kind {
@@ -160,7 +160,7 @@
 
 // pullIfBehind asks for a pull, at most one in RumorPeriod, if the sender holds a later configuration.
 func (n *Node) pullIfBehind(now time.Time, p *Packet, out []Action) []Action {
-	if p.Head <= n.head || now.Before(n.nextPull) {
+	if !p.Head.After(n.head) || now.Before(n.nextPull) {
 		return out
 	}
 	from := n.peers[p.From]
--- a/orderer/orderer.go
+++ b/orderer/orderer.go
@@ -128,7 +128,7 @@
 // orderService returns a service that takes orders, and the view to whose searchers it refers.
 func (o *Orderer) orderService(n modeler.ServiceName) (*planner.View, *planner.Service, error) {
 	v := o.view()
-	if v == nil || v.Revision == 0 {
+	if v == nil || v.Position.IsZero() {
 		return nil, nil, refuser.New(refuser.Unconfigured, "no configuration is in force yet")
 	}
 	i, ok := v.Service(n)
--- a/orderer/orderer_test.go
+++ b/orderer/orderer_test.go
@@ -23,7 +23,7 @@
 	for _, a := range addresses {
 		s.Searchers = append(s.Searchers, modeler.Searcher{Name: modeler.SearcherName(a.String()), Address: a, FailureDomain: "a"})
 	}
-	return planner.NewView(1, "a", nil, []modeler.Configuration{{Services: []modeler.Service{s}}}, observer.NewObserver())
+	return planner.NewView(modeler.Position{Revision: 1}, "a", nil, []modeler.Configuration{{Services: []modeler.Service{s}}}, observer.NewObserver())
 }
 
 func newTestOrderer(view func() *planner.View) *Orderer {
--- a/planner/leaving_test.go
+++ b/planner/leaving_test.go
@@ -11,7 +11,7 @@
 
 // registeredView returns the view of two services and the registrations.
 func registeredView(o *observer.Observer, registrations ...modeler.Registration) *View {
-	return NewView(1, "d-0", nil, []modeler.Configuration{
+	return NewView(modeler.Position{Revision: 1}, "d-0", nil, []modeler.Configuration{
 		{Services: []modeler.Service{{Name: "portal"}, {Name: "board"}}},
 		{Registrations: registrations},
 	}, o)
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -43,7 +43,7 @@
 
 func newTestView(services, shards int) (*View, *Index, *observer.Observer) {
 	o := observer.NewObserver()
-	v := NewView(1, "d-0", nil, []modeler.Configuration{testConfiguration(services, shards)}, o)
+	v := NewView(modeler.Position{Revision: 1}, "d-0", nil, []modeler.Configuration{testConfiguration(services, shards)}, o)
 	x, _ := v.Index("x")
 	return v, x, o
 }
@@ -258,11 +258,11 @@
 			var before, after runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
-			v = NewView(1, "d-0", nil, []modeler.Configuration{c}, o)
+			v = NewView(modeler.Position{Revision: 1}, "d-0", nil, []modeler.Configuration{c}, o)
 			runtime.GC()
 			runtime.ReadMemStats(&after)
 			for b.Loop() {
-				v = NewView(1, "d-0", nil, []modeler.Configuration{c}, o)
+				v = NewView(modeler.Position{Revision: 1}, "d-0", nil, []modeler.Configuration{c}, o)
 			}
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(v.Searchers)), "bytes/searcher")
 		})
--- a/planner/quota_test.go
+++ b/planner/quota_test.go
@@ -48,7 +48,7 @@
 		{Name: "ordinary", Host: "h", Prefix: "/b/", Priority: 2, Shards: []modeler.ServiceName{"s-0000"}},
 		{Name: "alone", Host: "h", Prefix: "/c/", Priority: 3, Split: []modeler.Weighted{{Service: "other", Weight: 1}}},
 	}
-	v := NewView(1, "d-0", nil, []modeler.Configuration{c}, observer.NewObserver())
+	v := NewView(modeler.Position{Revision: 1}, "d-0", nil, []modeler.Configuration{c}, observer.NewObserver())
 	for path, want := range map[string]float64{"/a/": 0, "/b/": UrgentReserve, "/c/": 0} {
 		if r, ok := v.Match("h", path); !ok || r.Reserve != want {
 			t.Errorf("reserve of route %s is %.1f, want %.1f", path, r.Reserve, want)
--- a/planner/route.go
+++ b/planner/route.go
@@ -104,7 +104,7 @@
 
 // newRouteSnapshot returns a snapshot with one shard for each service; its id is the view's revision.
 func (v *View) newRouteSnapshot(services ...modeler.ServiceName) *Snapshot {
-	s := &Snapshot{ID: modeler.SnapshotID(v.Revision), Shards: make([]Shard, len(services))}
+	s := &Snapshot{ID: modeler.SnapshotID(v.Position.Revision), Shards: make([]Shard, len(services))}
 	for i, name := range services {
 		n, ok := v.services[name]
 		if !ok {
--- a/planner/route_test.go
+++ b/planner/route_test.go
@@ -28,7 +28,7 @@
 		route("short", "/a/", modeler.Weighted{Service: "desk", Weight: 1}),
 	}
 	links := LinksFrom("d-0", map[modeler.FailureDomain]string{"d-0": "r-0", "d-1": "r-1", "d-2": "r-2"})
-	return NewView(1, "d-0", links, []modeler.Configuration{c}, observer.NewObserver(observer.WithPauses()))
+	return NewView(modeler.Position{Revision: 1}, "d-0", links, []modeler.Configuration{c}, observer.NewObserver(observer.WithPauses()))
 }
 
 func TestMatchPrefersTheLongestPrefix(t *testing.T) {
--- a/planner/view.go
+++ b/planner/view.go
@@ -54,7 +54,7 @@
 // View is the configuration in force, joined and indexed for planning. Searchers and services refer to each other by
 // their positions in the view's lists.
 type View struct {
-	Revision  modeler.Revision
+	Position  modeler.Position
 	Teams     []modeler.Team
 	Services  []Service
 	Searchers []Searcher
@@ -69,10 +69,10 @@
 
 // NewView joins the values of all keys of the configuration into one view, as seen from a VM in the failure domain.
 // The observer drops its state of searchers and services that the view does not have.
-func NewView(rev modeler.Revision, domain modeler.FailureDomain, links []modeler.Link, values []modeler.Configuration, o *observer.Observer) *View {
+func NewView(at modeler.Position, domain modeler.FailureDomain, links []modeler.Link, values []modeler.Configuration, o *observer.Observer) *View {
 	services, searchers := count(values)
 	v := &View{
-		Revision:  rev,
+		Position:  at,
 		Services:  make([]Service, 0, services),
 		Searchers: make([]Searcher, 0, searchers),
 		Buckets:   map[string][]int32{},
--- a/relayer/relayed.go
+++ b/relayer/relayed.go
@@ -190,7 +190,7 @@
 	}
 	return r.spreader.client.Peer(owner.Address).Search(ctx, &messenger.SearchRequest{
 		RequestId: string(r.req.ID), Index: string(r.req.Index.Name), Snapshot: uint64(p.snapshot.ID), Shards: names,
-		Query: r.req.Body, Limit: int32(r.req.Limit), Revision: uint64(r.req.View.Revision),
+		Query: r.req.Body, Limit: int32(r.req.Limit), Revision: uint64(r.req.View.Position.Revision),
 		DeadlineMicros: r.req.Deadline.Add(-ReturnMargin).Sub(r.spreader.now()).Microseconds(),
 	})
 }
--- a/relayer/service.go
+++ b/relayer/service.go
@@ -66,14 +66,11 @@
 	return &messenger.OrderResult{Kind: string(out.Kind), Detail: out.Detail, Result: out.Result}, nil
 }
 
-// Pull returns the configuration values that are newer than a revision.
+// Pull returns the configuration values that are newer than a position.
 func (s *Service) Pull(_ context.Context, r *messenger.PullRequest) (*messenger.PullResult, error) {
-	head, values := s.Store.Delta(modeler.Revision(r.GetSince()))
-	out := &messenger.PullResult{Head: uint64(head)}
-	for _, v := range values {
-		out.Values = append(out.Values, &messenger.Value{Key: v.Key, Revision: uint64(v.Revision), Text: v.Text})
-	}
-	return out, nil
+	since := modeler.Position{Epoch: modeler.Epoch(r.GetSinceEpoch()), Revision: modeler.Revision(r.GetSince())}
+	head, values := s.Store.Delta(since)
+	return valuesToWire(head, values), nil
 }
 
 // Sync merges the members that another VM sends. It returns the members in the buckets (see gossiper.Node.Digests)
--- a/runner/callers.go
+++ b/runner/callers.go
@@ -77,7 +77,7 @@
 	v.counter("attempts.lost").Inc(int64(res.Lost))
 	v.counter("attempts.shed").Inc(int64(res.Shed))
 	fields := []any{
-		"id", string(r.ID), "route", string(r.Route), "revision", uint64(r.Revision), "outcome", r.Outcome, "status", r.Status,
+		"id", string(r.ID), "route", string(r.Route), "epoch", uint64(r.Position.Epoch), "revision", uint64(r.Position.Revision), "outcome", r.Outcome, "status", r.Status,
 		"took-ms", r.Took.Milliseconds(), "shards", res.Shards, "answered", res.Answered, "sent", res.Sent,
 		"faults", res.Faults.String(), "may-have-run", res.MayHaveRun, "left-out", res.LeftOut,
 	}
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -9,7 +9,6 @@
 
 	"github.com/pistachiogap/pistachiogap/configurer"
 	"github.com/pistachiogap/pistachiogap/gossiper"
-	"github.com/pistachiogap/pistachiogap/messenger"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/planner"
 	"github.com/pistachiogap/pistachiogap/recorder"
@@ -51,15 +50,11 @@
 	defer spawner.Recover("pull", &err)
 	ctx, cancel := context.WithTimeout(ctx, PullTimeout)
 	defer cancel()
-	res, err := v.relayClient.Peer(a).Pull(ctx, &messenger.PullRequest{Since: uint64(v.store.Head())})
+	head, values, err := v.relayClient.Pull(ctx, a, v.store.Head())
 	if err != nil {
 		return
 	}
-	values := make([]configurer.Value, 0, len(res.GetValues()))
-	for _, w := range res.GetValues() {
-		values = append(values, configurer.Value{Key: w.GetKey(), Revision: modeler.Revision(w.GetRevision()), Text: w.GetText()})
-	}
-	v.applyOffer(v.store.Offer(time.Now(), modeler.Revision(res.GetHead()), values), a.String())
+	v.applyOffer(v.store.Offer(time.Now(), head, values), a.String())
 }
 
 // sourcePlatform is the source of a configuration that this VM has read from the platform, not from another VM.
@@ -72,11 +67,15 @@
 // and announces the revision to the other VMs. The source is the address of the VM that had the values, or sourcePlatform.
 func (v *VM) applyOffer(res configurer.Result, source string) {
 	for _, r := range res.Refused {
-		klog.Warningf("configuration: refused key %s at revision %d: %s", r.Key, r.Revision, r.Reason)
+		klog.Warningf("configuration: refused key %s at epoch %d, revision %d: %s", r.Key, r.Epoch, r.Revision, r.Reason)
 		v.recorder.Record(recorder.Event{Kind: recorder.ConfigurationRefused, Detail: r.Key + ": " + r.Reason})
 	}
-	rev := v.updateView(res.Changed(), source)
-	v.gossip.SetHead(rev)
+	if res.NewEpoch() {
+		v.counter("configuration.epochs").Inc(1)
+		klog.InfoS("configuration: new epoch", "before", res.Before.String(), "after", res.After.String(), "added", res.Added,
+			"replaced", res.Replaced, "removed", res.Removed, "refused", len(res.Refused), "source", source)
+	}
+	v.gossip.SetHead(v.updateView(res.Changed(), source))
 }
 
 // handlePause passes a pause of the process to runPulls, unless another pause is already pending.
@@ -88,20 +87,20 @@
 }
 
 // updateView builds the view of the accepted values if they changed or there is no view yet, and returns their
-// revision. Builds are serialized, so that an earlier view never replaces a later one.
-func (v *VM) updateView(changed bool, source string) modeler.Revision {
+// position. Builds are serialized, so that an earlier view never replaces a later one.
+func (v *VM) updateView(changed bool, source string) modeler.Position {
 	v.viewMu.Lock()
 	defer v.viewMu.Unlock()
-	rev, values := v.store.InForce()
+	head, values := v.store.InForce()
 	if !changed && v.view.Load() != nil {
-		return rev
+		return head
 	}
 	v.beforeViewBuild()
-	view := planner.NewView(rev, v.cfg.FailureDomain, v.cfg.Links, values, v.observer)
+	view := planner.NewView(head, v.cfg.FailureDomain, v.cfg.Links, values, v.observer)
 	v.view.Store(view)
 	v.shares.reset()
 	v.admitter.SetShares(view.Teams)
-	v.recorder.Record(recorder.Event{Kind: recorder.ConfigurationAccepted, Detail: revisionText(rev)})
-	klog.InfoS("configuration: in force", "revision", uint64(rev), "services", len(view.Services), "searchers", len(view.Searchers), "source", source)
-	return rev
+	v.recorder.Record(recorder.Event{Kind: recorder.ConfigurationAccepted, Detail: revisionText(head)})
+	klog.InfoS("configuration: in force", "epoch", uint64(head.Epoch), "revision", uint64(head.Revision), "services", len(view.Services), "searchers", len(view.Searchers), "source", source)
+	return head
 }
--- a/runner/configuration_test.go
+++ b/runner/configuration_test.go
@@ -39,24 +39,27 @@
 	}
 	var wg sync.WaitGroup
 	offer := func(rev int) {
-		v.applyRead(v.store.Offer(time.Now(), modeler.Revision(rev), []configurer.Value{valueOf(rev)}))
+		v.applyRead(v.store.Offer(time.Now(), at(rev), []configurer.Value{valueOf(rev)}))
 	}
 	wg.Go(func() { offer(1) })
 	<-firstBuild
 	wg.Go(func() { offer(2) })
-	for v.store.Head() < 2 {
+	for v.store.Head().Revision < 2 {
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(overtakeDelay)
 	close(release)
 	wg.Wait()
-	if got := v.view.Load(); got.Revision != 2 {
-		t.Errorf("revision %d is in force after revision 2 was accepted", got.Revision)
+	if got := v.view.Load(); got.Position != at(2) {
+		t.Errorf("revision %d is in force after revision 2 was accepted", got.Position.Revision)
 	}
 }
 
+// at returns the position of a revision in epoch 0.
+func at(rev int) modeler.Position { return modeler.Position{Revision: modeler.Revision(rev)} }
+
 // valueOf returns a valid value of key k at a revision.
 func valueOf(rev int) configurer.Value {
 	text := fmt.Appendf(nil, `{"teams": [{"name": "team-%d", "share": 0}]}`, rev)
-	return configurer.Value{Key: "k", Revision: modeler.Revision(rev), Text: text}
+	return configurer.Value{Key: "k", Position: at(rev), Text: text}
 }
--- a/runner/operators.go
+++ b/runner/operators.go
@@ -40,7 +40,7 @@
 // configuration must have a route.
 func (v *VM) healthy() bool {
 	view := v.view.Load()
-	configured := view != nil && view.Revision > 0
+	configured := view != nil && !view.Position.IsZero()
 	if configured && v.cfg.Routing != nil {
 		configured = view.HasRoutes()
 	}
@@ -49,10 +49,11 @@
 
 func (v *VM) status() server.Status {
 	limit, inFlight := v.admitter.Limit()
+	head := v.store.Head()
 	openConns, _ := v.dialer.ConnectionCounts()
 	return server.Status{
 		Name: v.cfg.Name, FailureDomain: string(v.cfg.FailureDomain), Incarnation: uint64(v.incarnation), Version: Version,
-		StartedAt: v.startedAt, Draining: v.draining.Load(), Revision: v.store.Head(), Members: v.membership.Load().liveCount,
+		StartedAt: v.startedAt, Draining: v.draining.Load(), Epoch: head.Epoch, Revision: head.Revision, Members: v.membership.Load().liveCount,
 		Underway: inFlight, Limit: limit, Connections: openConns, Tickets: v.tickets.Len(), PlatformCalls: v.platformCalls.Load(),
 		Gossip: v.gossip.Counters(),
 	}
--- a/runner/readers.go
+++ b/runner/readers.go
@@ -66,7 +66,7 @@
 		isolated = n.Isolated(now)
 		confirmedAt = later(confirmedAt, n.ConfirmedAt())
 	})
-	if isolated || v.store.Head() == 0 {
+	if isolated || v.store.Head().IsZero() {
 		return true
 	}
 	if v.cfg.Routing.FirstStart && !v.isSeed() && time.Since(v.startedAt) < LearnPeriod {
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -120,7 +120,7 @@
 		}
 		s := &view.Services[n]
 		klog.InfoS("service: overload", "service", string(c.Service), "overloaded", c.Overloaded, "queue-share", c.QueueShare, "left-out-share", c.LeftOutShare,
-			"base-ms", c.Base.Milliseconds(), "searchers", len(s.Searchers), "slots", s.Contract.Slots, "revision", uint64(view.Revision))
+			"base-ms", c.Base.Milliseconds(), "searchers", len(s.Searchers), "slots", s.Contract.Slots, "revision", uint64(view.Position.Revision))
 	}
 }
 
@@ -172,7 +172,7 @@
 	for ctx.Err() == nil {
 		for _, a := range v.syncWithPeers(ctx, MaxJoinPeers) {
 			v.pullFrom(ctx, a)
-			if v.store.Head() > 0 {
+			if !v.store.Head().IsZero() {
 				return true
 			}
 		}
--- a/runner/shares_test.go
+++ b/runner/shares_test.go
@@ -28,7 +28,7 @@
 		}
 		c.Services = append(c.Services, s)
 	}
-	return planner.NewView(1, "a", nil, []modeler.Configuration{c}, observer.NewObserver())
+	return planner.NewView(modeler.Position{Revision: 1}, "a", nil, []modeler.Configuration{c}, observer.NewObserver())
 }
 
 // fleetVMs returns settled VMs that are spread over the regions and all know each other.
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -158,4 +158,10 @@
 	v.recorder.Record(recorder.Event{Kind: recorder.ConnectionRetired, Detail: a.String() + ": " + detail})
 }
 
-func revisionText(r modeler.Revision) string { return "revision " + strconv.FormatUint(uint64(r), 10) }
+func revisionText(p modeler.Position) string {
+	text := "revision " + strconv.FormatUint(uint64(p.Revision), 10)
+	if p.Epoch > 0 {
+		text += " of epoch " + strconv.FormatUint(uint64(p.Epoch), 10)
+	}
+	return text
+}
--- a/scatterer/diagnose_test.go
+++ b/scatterer/diagnose_test.go
@@ -37,7 +37,7 @@
 				other.Searchers = append(other.Searchers, searcher(t, modeler.SearcherName("ledger-"+string(rune('1'+i))), alive))
 			}
 			c := modeler.Configuration{Services: []modeler.Service{own, other}}
-			v := planner.NewView(1, "north", nil, []modeler.Configuration{c}, observer.NewObserver())
+			v := planner.NewView(modeler.Position{Revision: 1}, "north", nil, []modeler.Configuration{c}, observer.NewObserver())
 			r := &run{
 				req:              Request{View: v, Snapshot: &planner.Snapshot{Shards: []planner.Shard{{Service: 0}, {Service: 0}}}},
 				reachedSearchers: map[int32]bool{0: true, 1: true},
--- a/scatterer/fleet_test.go
+++ b/scatterer/fleet_test.go
@@ -129,7 +129,7 @@
 			}
 		}
 		f.vms = append(f.vms, &fleetVM{
-			view:     planner.NewView(1, modeler.FailureDomain(domainName(i)), links, []modeler.Configuration{c}, observer.NewObserver(observer.WithPauses())),
+			view:     planner.NewView(modeler.Position{Revision: 1}, modeler.FailureDomain(domainName(i)), links, []modeler.Configuration{c}, observer.NewObserver(observer.WithPauses())),
 			snapshot: &snapshot, domain: domainName(i),
 			windows: limiter.NewWindows(allowance, func() int { return load.vms }, limiter.WithStart(f.start)),
 		})
--- a/scatterer/forward_test.go
+++ b/scatterer/forward_test.go
@@ -14,7 +14,7 @@
 // The typical latency of a service is 60 ms. It is asked as a single shard and as one of two shards.
 func TestStallLimit(t *testing.T) {
 	c := modeler.Configuration{Services: []modeler.Service{{Name: "portal"}, {Name: "desk"}}}
-	v := planner.NewView(1, "d", nil, []modeler.Configuration{c}, observer.NewObserver())
+	v := planner.NewView(modeler.Position{Revision: 1}, "d", nil, []modeler.Configuration{c}, observer.NewObserver())
 	for range 50 {
 		v.Services[0].Health.Record(60 * time.Millisecond)
 	}
--- a/scatterer/learn_test.go
+++ b/scatterer/learn_test.go
@@ -18,7 +18,7 @@
 	c := modeler.Configuration{Services: []modeler.Service{{Name: "desk", Searchers: []modeler.Searcher{{
 		Name: "desk-1", Address: netip.MustParseAddrPort("10.0.0.1:7000"), FailureDomain: "north",
 	}}}}}
-	v := planner.NewView(1, "north", nil, []modeler.Configuration{c}, observer.NewObserver())
+	v := planner.NewView(modeler.Position{Revision: 1}, "north", nil, []modeler.Configuration{c}, observer.NewObserver())
 	r := &run{s: NewScatterer(nil, nil, nil, nil), req: Request{View: v}}
 	health := v.Searchers[0].Health
 	health.MarkDraining(time.Now().Add(-time.Second))
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -98,7 +98,7 @@
 	}
 	searcher := &r.req.View.Searchers[a.Searcher]
 	klog.InfoS("attempt: extra", "id", string(r.req.ID), "shard", string(r.shardName(a.Shard)), "purpose", a.Purpose.String(), "searcher", string(searcher.Name),
-		"after-ms", r.s.now().Sub(r.startedAt).Milliseconds(), "hedge-delay-ms", r.hedgeAfter(a.Shard).Milliseconds(), "revision", uint64(r.req.View.Revision))
+		"after-ms", r.s.now().Sub(r.startedAt).Milliseconds(), "hedge-delay-ms", r.hedgeAfter(a.Shard).Milliseconds(), "revision", uint64(r.req.View.Position.Revision))
 }
 
 func (r *run) recordPlan(plan gatherer.Plan) {
--- a/scatterer/suspect.go
+++ b/scatterer/suspect.go
@@ -76,7 +76,7 @@
 // logDiagnosis logs the verdict on the losses of a request and the counts that decided it.
 func (r *run) logDiagnosis(d diagnosis) {
 	klog.InfoS("search: losses judged", "id", string(r.req.ID), "fingerprint", uint64(r.fingerprint), "verdict", d.verdict.String(),
-		"lost", d.lost, "in-live-domains", d.inLiveDomains, "in-dead-domains", d.inDeadDomains, "revision", uint64(r.req.View.Revision))
+		"lost", d.lost, "in-live-domains", d.inLiveDomains, "in-dead-domains", d.inDeadDomains, "revision", uint64(r.req.View.Position.Revision))
 }
 
 // quarantine quarantines the request and calls onQuarantine if it was not quarantined before.
--- a/server/forward.go
+++ b/server/forward.go
@@ -43,7 +43,7 @@
 	Detail   string // says why the request was refused; empty if it was not
 	Status   int
 	Took     time.Duration
-	Revision modeler.Revision // of the configuration that was in force
+	Position modeler.Position // of the configuration that was in force
 	Result   scatterer.Result
 }
 
@@ -93,7 +93,7 @@
 		out.Route = rr.route.Name
 	}
 	if rr.view != nil {
-		out.Revision = rr.view.Revision
+		out.Position = rr.view.Position
 	}
 	h.OnDone(out)
 }
--- a/server/forward_panic_test.go
+++ b/server/forward_panic_test.go
@@ -16,7 +16,7 @@
 
 // A request that panics while it runs must still release its concurrency slot.
 func TestPanickingRequestReleasesItsSlot(t *testing.T) {
-	view := planner.NewView(1, "seoul-a", nil, []modeler.Configuration{{
+	view := planner.NewView(modeler.Position{Revision: 1}, "seoul-a", nil, []modeler.Configuration{{
 		Services: []modeler.Service{{Name: "portal"}},
 		Routes:   []modeler.Route{{Name: "r", Host: "desk.example", Prefix: "/", Timeout: modeler.Duration{Duration: time.Second}, Split: []modeler.Weighted{{Service: "portal", Weight: 1}}}},
 	}}, observer.NewObserver())
--- a/server/operators.go
+++ b/server/operators.go
@@ -30,6 +30,7 @@
 	Version       string            `json:"version"`
 	StartedAt     time.Time         `json:"since"`
 	Draining      bool              `json:"draining"`
+	Epoch         modeler.Epoch     `json:"epoch"`
 	Revision      modeler.Revision  `json:"revision"`
 	Members       int               `json:"members"`
 	Underway      int               `json:"requests-under-way"`
--- a/server/search.go
+++ b/server/search.go
@@ -177,7 +177,7 @@
 
 func (h *SearchHandler) admitAndRun(ctx context.Context, in searchInput) (scatterer.Result, error) {
 	v := h.View()
-	if v == nil || v.Revision == 0 {
+	if v == nil || v.Position.IsZero() {
 		return scatterer.Result{}, refuser.New(refuser.Unconfigured, "no configuration is in force yet")
 	}
 	index, ok := v.Index(in.index)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -41,7 +41,7 @@
 			Snapshots: []modeler.Snapshot{{ID: 1, Shards: []modeler.Shard{{Name: "s", Service: "desk"}}}},
 		}},
 	}
-	view := planner.NewView(1, "d", nil, []modeler.Configuration{cfg}, o)
+	view := planner.NewView(modeler.Position{Revision: 1}, "d", nil, []modeler.Configuration{cfg}, o)
 	r := recorder.NewRecorder("vm", recorder.NewClock(time.Now))
 	h := &SearchHandler{
 		Name: "vm", View: func() *planner.View { return view }, Gather: gather, TakeStarvedAttempts: func() int { return 0 },
--- a/watcher/client.go
+++ b/watcher/client.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return configurer.Value{}, errors.Errorf("value of key %s has no valid Revision header", key)
 	}
-	return configurer.Value{Key: key, Revision: modeler.Revision(rev), Text: body}, nil
+	return configurer.Value{Key: key, Position: modeler.Position{Revision: modeler.Revision(rev)}, Text: body}, nil
 }
 
 // Listing returns the platform's list of VMs, which lags behind the real state.
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -16,8 +16,11 @@
 // ErrHistoryLost means that the platform's store no longer has all changes after the revision of a watch.
 var ErrHistoryLost = errors.New("the store no longer has the changes after the requested revision")
 
-// errPageOfEarlierList reports a page that is older than the first page of its list.
-var errPageOfEarlierList = errors.New("the store answered with a page of an earlier list")
+// errPageOfAnotherList reports a page that is older than the first page of its list, or of another epoch.
+var errPageOfAnotherList = errors.New("the store answered with a page of another list")
+
+// errEarlierEpoch reports an answer of an earlier epoch than that of the configuration in force.
+var errEarlierEpoch = errors.New("the store answered with an earlier epoch than that of the configuration in force")
 
 // Page is one answer of the platform's store to List or Watch.
 type Page struct {
@@ -55,7 +58,7 @@
 	Listed       func(configurer.Result) // called with the result of each list; nil if not needed
 
 	storeLost   bool             // whether the last step failed
-	cursor      modeler.Revision // the next watch asks for the changes after this revision
+	cursor      modeler.Position // the next watch asks for the changes after this position
 	watchedAt   time.Time        // when a watch last had an answer with all changes after the cursor
 	historyLost int              // watches in a row whose changes the store did not have
 }
@@ -82,27 +85,34 @@
 	return ctx.Err()
 }
 
-// Step lists all values if this VM has none, or if the platform's store no longer has the changes that this VM lacks.
-// Otherwise it watches once. A panic is returned as an error.
+// Step lists all values if this VM has none, or if the platform's store does not have the changes that this VM lacks: it
+// has discarded them, or has come back from an older copy. Otherwise it watches once. A panic is returned as an error.
 func (f *Follower) Step(ctx context.Context) (err error) {
 	defer spawner.Recover("store", &err)
-	f.cursor = max(f.cursor, f.Store.Head())
-	if f.Store.Head() == 0 {
+	if head := f.Store.Head(); head.After(f.cursor) {
+		f.cursor = head
+	}
+	if f.Store.Head().IsZero() {
 		return f.list(ctx, modeler.Position{})
 	}
 	sent := time.Now()
-	p, err := f.Watch(ctx, f.cursor, StoreWait)
-	if errors.Is(err, ErrHistoryLost) {
+	p, err := f.Watch(ctx, f.cursor.Revision, StoreWait)
+	lost := errors.Is(err, ErrHistoryLost)
+	switch {
+	case err != nil && !lost:
+		return err
+	case p.Position.Epoch < f.cursor.Epoch:
+		return errEarlierEpoch
+	case lost || p.Position.Epoch > f.cursor.Epoch:
 		f.historyLost++
 		return f.list(ctx, p.Position)
 	}
-	if err != nil {
-		return err
-	}
 	f.watchedAt, f.historyLost = time.Now(), 0
-	f.cursor = max(f.cursor, p.Position.Revision)
+	if p.Position.After(f.cursor) {
+		f.cursor = p.Position
+	}
 	if len(p.Values) > 0 {
-		f.Changed(f.Store.Offer(time.Now(), p.Position.Revision, p.Values))
+		f.Changed(f.Store.Offer(time.Now(), p.Position, p.Values))
 		f.Confirm(sent)
 		return nil
 	}
@@ -134,8 +144,11 @@
 		if n == 0 {
 			first = p.Position
 		}
-		if p.Position.Revision < first.Revision {
-			return errPageOfEarlierList
+		if first.Epoch < held.Epoch {
+			return errEarlierEpoch
+		}
+		if p.Position.Epoch != first.Epoch || first.After(p.Position) {
+			return errPageOfAnotherList
 		}
 		all = append(all, p.Values...)
 		if !p.More || len(p.Values) == 0 {
@@ -143,25 +156,25 @@
 		}
 		after = p.Values[len(p.Values)-1].Key
 	}
-	res := f.Store.Replace(time.Now(), first.Revision, all)
-	f.logList(&res, lostAt, first, held, len(all))
+	res := f.Store.Replace(time.Now(), first, all)
+	f.logList(&res, lostAt, first, len(all))
 	f.Changed(res)
-	f.cursor = first.Revision
+	f.cursor = first
 	f.Confirm(sent)
 	return nil
 }
 
 // logList logs what the store answered and what became of a list's values. The positions are those of the store in the
-// watch that failed and in the first page, and the revision that this VM held before.
-func (f *Follower) logList(res *configurer.Result, lostAt, first modeler.Position, held modeler.Revision, values int) {
+// watch that failed and in the first page.
+func (f *Follower) logList(res *configurer.Result, lostAt, first modeler.Position, values int) {
 	behind := time.Duration(0)
 	if !f.watchedAt.IsZero() {
 		behind = time.Since(f.watchedAt)
 	}
-	klog.InfoS("store: listed", "history-lost", f.historyLost, "cursor", uint64(f.cursor), "held", uint64(held),
-		"watch-epoch", uint64(lostAt.Epoch), "watch-at", uint64(lostAt.Revision), "epoch", uint64(first.Epoch), "at", uint64(first.Revision),
-		"values", values, "added", res.Added, "replaced", res.Replaced, "removed", res.Removed, "older", res.Older, "refused", len(res.Refused),
-		"older-key", res.Unused.Key, "older-offered", uint64(res.Unused.Offered), "older-held", uint64(res.Unused.Held), "behind-ms", behind.Milliseconds())
+	klog.InfoS("store: listed", "history-lost", f.historyLost, "cursor", f.cursor.String(), "held", res.Before.String(),
+		"watch-at", lostAt.String(), "at", first.String(), "values", values, "added", res.Added, "replaced", res.Replaced,
+		"removed", res.Removed, "older", res.Older, "refused", len(res.Refused), "older-key", res.Unused.Key,
+		"older-offered", res.Unused.Offered.String(), "older-held", res.Unused.Held.String(), "behind-ms", behind.Milliseconds())
 	if f.Listed != nil {
 		f.Listed(*res)
 	}
@@ -172,9 +185,9 @@
 	if lost := err != nil; lost != f.storeLost {
 		f.storeLost = lost
 		if lost {
-			klog.InfoS("store: lost", "error", err.Error(), "revision", f.Store.Head())
+			klog.InfoS("store: lost", "error", err.Error(), "held", f.Store.Head().String())
 		} else {
-			klog.InfoS("store: regained", "revision", f.Store.Head())
+			klog.InfoS("store: regained", "held", f.Store.Head().String())
 		}
 	}
 }
--- a/watcher/follower_test.go
+++ b/watcher/follower_test.go
@@ -13,7 +13,7 @@
 // of this list.
 func TestPageOfAnEarlierListIsNotUsed(t *testing.T) {
 	value := func(key string, r modeler.Revision) configurer.Value {
-		return configurer.Value{Key: key, Revision: r, Text: []byte("x")}
+		return configurer.Value{Key: key, Position: modeler.Position{Revision: r}, Text: []byte("x")}
 	}
 	second := Page{Values: []configurer.Value{value("c", 5)}, Position: modeler.Position{Revision: 6}} // from before b was written
 	f := &Follower{
@@ -30,12 +30,12 @@
 		Confirm: func(time.Time) {},
 		Changed: func(configurer.Result) {},
 	}
-	f.Store.Offer(time.Now(), 8, []configurer.Value{value("b", 7)})
+	f.Store.Offer(time.Now(), modeler.Position{Revision: 8}, []configurer.Value{value("b", 7)})
 	if err := f.Step(t.Context()); err == nil {
 		t.Error("a list with a page of an earlier list was used")
 	}
 	deleted := func() bool {
-		_, values := f.Store.Delta(0)
+		_, values := f.Store.Delta(modeler.Position{})
 		for _, v := range values {
 			if v.Key == "b" && len(v.Text) == 0 {
 				return true
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -58,7 +58,7 @@
 // If wait is set and the store holds a revision, it waits for a directory with a later one.
 func (w *Watcher) Refresh(ctx context.Context, wait bool) error {
 	head := w.Store.Head()
-	d, err := w.Client.Directory(ctx, head, wait && head > 0)
+	d, err := w.Client.Directory(ctx, head.Revision, wait && !head.IsZero())
 	if err != nil {
 		return err
 	}
@@ -70,6 +70,6 @@
 		}
 		values = append(values, v)
 	}
-	w.Changed(w.Store.Offer(time.Now(), d.Revision, values))
+	w.Changed(w.Store.Offer(time.Now(), modeler.Position{Revision: d.Revision}, values))
 	return nil
 }
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/configurer"
-	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
@@ -68,9 +67,9 @@
 			<-service.watching
 			service.revision.Store(2)
 			deadline := time.Now().Add(inForceLimit)
-			for w.Store.Head() != modeler.Revision(2) {
+			for w.Store.Head().Revision != 2 {
 				if time.Now().After(deadline) {
-					t.Fatalf("revision %d %v after a change to 2", w.Store.Head(), inForceLimit)
+					t.Fatalf("revision %d %v after a change to 2", w.Store.Head().Revision, inForceLimit)
 				}
 				spawner.Sleep(ctx, 10*time.Millisecond)
 			}
