configurer: a configuration does not go back when the store has lost the newest one

Cause: a later epoch replaced the configuration whatever its own version. What the operator had confirmed and the store lost is written again; that it is missing from the copy says nothing. Change: a configuration has the operator's version. Between epochs none of a lower version replaces it and a missing one is not deleted; it is refused with the reason, and the state for operators shows it. In one epoch the revision decides as before. VMs tell each other the version that they have in force: one that started after the return, or had been behind, pulls the version that the store lost. Why it works: versions rise with what the operator writes, across epochs; once it is written again, its version is no lower and the epoch's revisions decide.

--- a/configurer/epoch_test.go
+++ b/configurer/epoch_test.go
@@ -154,3 +154,37 @@
 		}
 	})
 }
+
+// decodeVersion decodes a text as one route named after it; its length is the version.
+func decodeVersion(_ string, text []byte) (modeler.Configuration, error) {
+	return modeler.Configuration{Version: uint64(len(text)), Teams: []modeler.Team{{Name: modeler.TeamName(text)}}}, nil
+}
+
+// Guards against a configuration that goes back because the platform has lost the newest one.
+func TestVersionsDoNotGoBackBetweenEpochs(t *testing.T) {
+	lost := Value{"k", in(1, 372), []byte("vvv")}
+	copied := Value{"k", in(2, 350), []byte("vv")}
+	running, started := NewStore(WithDecode(decodeVersion)), NewStore(WithDecode(decodeVersion))
+	running.Offer(now, in(1, 374), []Value{lost})
+	for _, s := range []*Store{running, started} {
+		s.Replace(now, in(2, 351), []Value{copied})
+	}
+	if got := teamsInForce(running); !slices.Equal(got, []string{"vvv"}) || len(running.State().Refused) != 1 {
+		t.Errorf("%q in force, %d refusals; want the later version, the other refused", got, len(running.State().Refused))
+	}
+	if res := running.Replace(now, in(2, 351), nil); res.Changed() {
+		t.Error("the later version was deleted because the later epoch lacks it")
+	}
+	head, values := running.Delta(started.Head())
+	started.Offer(now, head, values)
+	if got := teamsInForce(started); !slices.Equal(got, []string{"vvv"}) {
+		t.Errorf("%q in force at a VM that started later, want the version that its peer has kept", got)
+	}
+	for _, s := range []*Store{running, started} {
+		s.Offer(now, in(2, 360), []Value{{"k", in(2, 360), []byte("vvv")}})
+		s.Offer(now, in(2, 361), []Value{{"k", in(2, 361), []byte("vvvv")}})
+		if got := teamsInForce(s); !slices.Equal(got, []string{"vvvv"}) {
+			t.Errorf("%q in force, want what the operator wrote last", got)
+		}
+	}
+}
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/parser"
@@ -83,7 +84,7 @@
 
 // Offer accepts or refuses values. Together with the values already in the store they must cover every change up to the
 // head. If the head is of a later epoch than the store's, they must be all values of that epoch, and replace those held as
-// Replace does.
+// Replace does. Between epochs, a value that has a version is replaced by none of a lower version.
 func (s *Store) Offer(now time.Time, head modeler.Position, values []Value) Result {
 	return s.accept(now, head, values, false)
 }
@@ -135,6 +136,9 @@
 		if listed[k] || held.After(at) || (len(e.acceptedValue.Text) == 0 && !held.IsZero()) {
 			continue
 		}
+		if held.Epoch < at.Epoch && e.configuration.Version > 0 {
+			continue // the platform has lost it, and its operator writes it again
+		}
 		deleted := at
 		if deleted == held {
 			deleted.Revision++ // the platform deleted the key after the first page of its list
@@ -171,8 +175,10 @@
 		e = &entry{}
 		s.entries[v.Key] = e
 	}
-	if !s.supersedes(v.Position, e.acceptedValue.Position) || v.Position == e.refusedValue.Position {
-		o.countUnused(v, e.acceptedValue.Position)
+	held := e.acceptedValue.Position
+	later := s.supersedes(v.Position, held)
+	if v.Position == e.refusedValue.Position || (!later && v.Position.Epoch == held.Epoch) {
+		o.countUnused(v, held)
 		return
 	}
 	if e.isRenewed(v) {
@@ -184,6 +190,14 @@
 		s.refuse(o, e, v, err)
 		return
 	}
+	if !later && parsed.Version <= e.configuration.Version {
+		o.countUnused(v, held)
+		return
+	}
+	if v.Position.Epoch > held.Epoch && parsed.Version < e.configuration.Version {
+		s.refuse(o, e, v, errors.Errorf("version %d is lower than %d, which an earlier epoch had", parsed.Version, e.configuration.Version))
+		return
+	}
 	o.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
 	e.holdRegistration(o.now, parsed, s.usableUntil(o, parsed))
 	e.acceptedValue, e.configuration = v, parsed
@@ -235,17 +249,18 @@
 	return s.head
 }
 
-// Delta returns the head and all values, accepted and refused, of a later position than since. If since is of an earlier
-// epoch than the head, these are all values of the head's epoch.
+// Delta returns the head and all values, accepted and refused, of a later position than since, and those in force that the
+// head's epoch lacks. If since is of an earlier epoch than the head, these are all values of the head's epoch.
 func (s *Store) Delta(since modeler.Position) (modeler.Position, []Value) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Value
 	for _, e := range s.entries {
-		for _, v := range []Value{e.acceptedValue, e.refusedValue} {
-			if v.Position.After(since) {
-				out = append(out, v)
-			}
+		if v := e.acceptedValue; v.Position.After(since) || (v.Position.Epoch < s.head.Epoch && len(v.Text) > 0) {
+			out = append(out, v)
+		}
+		if v := e.refusedValue; v.Position.After(since) {
+			out = append(out, v)
 		}
 	}
 	slices.SortFunc(out, func(a, b Value) int { return a.Position.Compare(b.Position) })
--- a/gossiper/confirm_test.go
+++ b/gossiper/confirm_test.go
@@ -36,7 +36,7 @@
 	for _, n := range []int{3, 9, 100} {
 		c := newCluster(n)
 		for _, x := range c.nodes {
-			c.deliver(x.SetHead(c.now, modeler.Position{Revision: 7}, nil))
+			c.deliver(x.SetHead(c.now, modeler.Position{Revision: 7}, 0, nil))
 		}
 		late, checks := 0, 0
 		c.confirm(3*time.Second, 1200*time.Millisecond, 0, 1, 2)
@@ -61,9 +61,9 @@
 // Guards against a VM that counts its configuration as complete because another one, which holds a later one, is.
 func TestConfirmationOfALaterConfigurationIsNotTaken(t *testing.T) {
 	c := newCluster(3)
-	c.nodes[0].SetHead(c.now, modeler.Position{Revision: 8}, nil)
-	c.nodes[1].SetHead(c.now, modeler.Position{Revision: 7}, nil)
-	c.nodes[2].SetHead(c.now, modeler.Position{Revision: 8}, nil)
+	c.nodes[0].SetHead(c.now, modeler.Position{Revision: 8}, 0, nil)
+	c.nodes[1].SetHead(c.now, modeler.Position{Revision: 7}, 0, nil)
+	c.nodes[2].SetHead(c.now, modeler.Position{Revision: 8}, 0, nil)
 	c.confirm(5*time.Second, time.Second, 0)
 	if at := c.nodes[1].ConfirmedAt(); !at.IsZero() {
 		t.Errorf("a VM with an earlier configuration counts as confirmed at %v", at)
--- a/gossiper/epoch_test.go
+++ b/gossiper/epoch_test.go
@@ -13,21 +13,23 @@
 	tests := []struct {
 		name            string
 		head            modeler.Position
+		version         uint64
 		pull, confirmed bool
 	}{
-		{"later epoch, lower revision", modeler.Position{Epoch: 3, Revision: 7}, true, false},
-		{"later revision", modeler.Position{Epoch: 2, Revision: 361}, true, false},
-		{"same", own, false, true},
-		{"earlier revision", modeler.Position{Epoch: 2, Revision: 359}, false, true},
-		{"earlier epoch, higher revision", modeler.Position{Epoch: 1, Revision: 374}, false, false},
-		{"a VM that knows no epochs", modeler.Position{Revision: 374}, false, false},
+		{"later epoch, lower revision", modeler.Position{Epoch: 3, Revision: 7}, 8, true, false},
+		{"later revision", modeler.Position{Epoch: 2, Revision: 361}, 8, true, false},
+		{"same", own, 8, false, true},
+		{"same, a later version that the store has lost", own, 9, true, true},
+		{"earlier revision", modeler.Position{Epoch: 2, Revision: 359}, 8, false, true},
+		{"earlier epoch, higher revision", modeler.Position{Epoch: 1, Revision: 374}, 8, false, false},
+		{"a VM that knows no epochs", modeler.Position{Revision: 374}, 0, false, false},
 	}
 	for _, tt := range tests {
 		c := newCluster(2)
-		c.deliver(c.nodes[1].SetHead(c.now, own, nil))
+		c.deliver(c.nodes[1].SetHead(c.now, own, 8, nil))
 		from := c.nodes[0].Self()
 		out := c.nodes[1].Receive(c.now, &Packet{
-			Kind: Rumor, From: from.Name, Incarnation: from.Incarnation, Members: []Member{from}, Head: tt.head, Confirmed: true, ConfirmAge: time.Second,
+			Kind: Rumor, From: from.Name, Incarnation: from.Incarnation, Members: []Member{from}, Head: tt.head, Version: tt.version, Confirmed: true, ConfirmAge: time.Second,
 			Stamp: c.nodes[0].clock.Now(),
 		}, nil)
 		pulled := false
--- a/gossiper/gossip.go
+++ b/gossiper/gossip.go
@@ -154,9 +154,9 @@
 	g.Do(func(n *Node, now time.Time, out []Action) []Action { return n.Broadcast(now, x, out) })
 }
 
-// SetHead spreads up to which position this VM holds the configuration.
-func (g *Gossip) SetHead(head modeler.Position) {
-	g.Do(func(n *Node, now time.Time, out []Action) []Action { return n.SetHead(now, head, out) })
+// SetHead spreads up to which position this VM holds the configuration, and its version.
+func (g *Gossip) SetHead(head modeler.Position, version uint64) {
+	g.Do(func(n *Node, now time.Time, out []Action) []Action { return n.SetHead(now, head, version, out) })
 }
 
 // Leave spreads that this VM leaves, and the successors that are responsible for its tickets.
--- a/gossiper/merge.go
+++ b/gossiper/merge.go
@@ -133,12 +133,15 @@
 	n.fanOutsLeft = max(n.fanOutsLeft, rounds)
 }
 
-// SetHead records up to which position this VM holds the configuration. A later position than the last is spread at once.
-func (n *Node) SetHead(now time.Time, head modeler.Position, out []Action) []Action {
-	if !head.After(n.head) {
+// SetHead records up to which position this VM holds the configuration, and its version. A later position or version than
+// the last is spread at once.
+func (n *Node) SetHead(now time.Time, head modeler.Position, version uint64, out []Action) []Action {
+	if head.After(n.head) {
+		n.head = head
+	} else if version <= n.version {
 		return out
 	}
-	n.head = head
+	n.version = version
 	n.fanOutsLeft = RumorRounds
 	return n.fanOut(now, out)
 }
--- a/gossiper/node.go
+++ b/gossiper/node.go
@@ -85,6 +85,7 @@
 	news         map[newsKey]News
 	successors   map[ticketer.Incarnation]Successor // by the incarnation that left
 	head         modeler.Position                   // up to which this VM holds the configuration
+	version      uint64                             // of the configuration in force, the operator's own
 	confirmedAt  time.Time                          // see Confirm
 	toldAt       time.Time                          // confirmedAt when this VM last told members of it
 	nextPull     time.Time
@@ -158,9 +159,11 @@
 	return out
 }
 
-// pullIfBehind asks for a pull, at most one in RumorPeriod, if the sender holds a later configuration.
+// pullIfBehind asks for a pull, at most one in RumorPeriod, if the sender holds a later configuration, or one of a later
+// version that the epoch's store has lost.
 func (n *Node) pullIfBehind(now time.Time, p *Packet, out []Action) []Action {
-	if !p.Head.After(n.head) || now.Before(n.nextPull) {
+	behind := p.Head.After(n.head) || p.Version > n.version
+	if !behind || now.Before(n.nextPull) {
 		return out
 	}
 	from := n.peers[p.From]
--- a/gossiper/node_test.go
+++ b/gossiper/node_test.go
@@ -144,7 +144,7 @@
 	c := newCluster(9)
 	c.run(2 * time.Second)
 	c.deliver(c.nodes[3].Broadcast(c.now, News{Kind: NewsQuarantine, Fingerprint: 42, Until: c.now.Add(time.Minute)}, nil))
-	c.deliver(c.nodes[3].SetHead(c.now, modeler.Position{Revision: 17}, nil))
+	c.deliver(c.nodes[3].SetHead(c.now, modeler.Position{Revision: 17}, 0, nil))
 	c.run(time.Second)
 	received, pulls := 0, map[modeler.VMName]bool{}
 	for _, a := range c.actions {
@@ -216,7 +216,7 @@
 func TestPacket(t *testing.T) {
 	keys := [][]byte{[]byte("the first shared key"), []byte("the second shared key")}
 	p := &Packet{
-		Kind: Ping, From: "entry-1", Incarnation: 7, Sequence: 3, Head: modeler.Position{Epoch: 2, Revision: 9}, Members: []Member{member(1)},
+		Kind: Ping, From: "entry-1", Incarnation: 7, Sequence: 3, Head: modeler.Position{Epoch: 2, Revision: 9}, Version: 4, Members: []Member{member(1)},
 		News: []News{{Kind: NewsDraining, Address: member(2).Address, Until: time.UnixMilli(5000)}}, Successors: []Successor{{1, 2, time.UnixMilli(6000)}},
 	}
 	b, err := p.Encode(keys[1])
--- a/gossiper/packet.go
+++ b/gossiper/packet.go
@@ -34,6 +34,7 @@
 	Target      modeler.VMName // the VM to ping; empty in a Ping that is sent because of a PingRequest
 	Stamp       recorder.Stamp
 	Head        modeler.Position // up to which the sender holds the configuration
+	Version     uint64           // of the configuration that the sender has in force, the operator's own; 0 if it has none
 	Confirmed   bool             // whether ConfirmAge is known
 	ConfirmAge  time.Duration    // how long ago Head was known to be the latest position, in whole milliseconds on the wire
 	Members     []Member
@@ -45,7 +46,7 @@
 func (p *Packet) Encode(key []byte) ([]byte, error) {
 	w := &messenger.Packet{
 		Kind: uint32(p.Kind), From: string(p.From), Incarnation: uint64(p.Incarnation), Sequence: p.Sequence,
-		Target: string(p.Target), Wall: p.Stamp.Wall, Logical: p.Stamp.Logical, Head: uint64(p.Head.Revision), Epoch: uint64(p.Head.Epoch),
+		Target: string(p.Target), Wall: p.Stamp.Wall, Logical: p.Stamp.Logical, Head: uint64(p.Head.Revision), Epoch: uint64(p.Head.Epoch), Version: p.Version,
 	}
 	if p.Confirmed {
 		w.ConfirmAgeMillis = 1 + uint64(max(0, p.ConfirmAge).Milliseconds())
@@ -87,7 +88,7 @@
 	p := &Packet{
 		Kind: PacketKind(w.GetKind()), From: modeler.VMName(w.GetFrom()), Incarnation: ticketer.Incarnation(w.GetIncarnation()),
 		Sequence: w.GetSequence(), Target: modeler.VMName(w.GetTarget()),
-		Stamp: recorder.Stamp{Wall: w.GetWall(), Logical: w.GetLogical()}, Head: modeler.Position{Epoch: modeler.Epoch(w.GetEpoch()), Revision: modeler.Revision(w.GetHead())},
+		Stamp: recorder.Stamp{Wall: w.GetWall(), Logical: w.GetLogical()}, Head: modeler.Position{Epoch: modeler.Epoch(w.GetEpoch()), Revision: modeler.Revision(w.GetHead())}, Version: w.GetVersion(),
 	}
 	if age := w.GetConfirmAgeMillis(); age > 0 {
 		p.Confirmed = true
--- a/gossiper/spread.go
+++ b/gossiper/spread.go
@@ -19,7 +19,7 @@
 // send fills in the sender's fields of a packet and asks for it to be sent. It adds this VM's own description, and
 // the target's if the target is suspect, so that the target can refute. Rumors are added while byteTokens is positive.
 func (n *Node) send(now time.Time, to Member, p *Packet, out []Action) []Action {
-	p.From, p.Incarnation, p.Head = n.self.Name, n.self.Incarnation, n.head
+	p.From, p.Incarnation, p.Head, p.Version = n.self.Name, n.self.Incarnation, n.head, n.version
 	p.Stamp = n.clock.Now()
 	p.Confirmed, p.ConfirmAge = !n.confirmedAt.IsZero(), now.Sub(n.confirmedAt)
 	p.Members = append(p.Members, n.self)
--- a/modeler/configuration.go
+++ b/modeler/configuration.go
@@ -1,14 +1,17 @@
 package modeler
 
 // Configuration is what the value of one key of the platform's configuration service says. The values of all keys
-// together configure the tier. Registrations and Ignored are not fields of the JSON: the package platform sets them when
-// it decodes the platform's own formats. Ignored, if not empty, says why the tier does not use the value.
+// together configure the tier. Version, Registrations and Ignored are not fields of the JSON: the package platform sets them
+// when it decodes the platform's own formats. Version is the operator's own number of the value, or 0: it rises with each
+// value that the operator writes under the key, also across epochs. Ignored, if not empty, says why the tier does not use
+// the value.
 type Configuration struct {
 	Teams         []Team         `json:"teams,omitempty"`
 	Services      []Service      `json:"services,omitempty"`
 	Indexes       []Index        `json:"indexes,omitempty"`
 	Routes        []Route        `json:"routes,omitempty"`
 	Limits        *Limits        `json:"limits,omitempty"`
+	Version       uint64         `json:"-"`
 	Registrations []Registration `json:"-"`
 	Ignored       string         `json:"-"`
 }
--- a/planner/view.go
+++ b/planner/view.go
@@ -55,6 +55,7 @@
 // their positions in the view's lists.
 type View struct {
 	Position  modeler.Position
+	Version   uint64 // of the operator's configuration; 0 if it has none
 	Teams     []modeler.Team
 	Services  []Service
 	Searchers []Searcher
@@ -85,6 +86,7 @@
 	delays := delaysFrom(domain, links)
 	registered := registrationsByService(values)
 	for _, c := range values {
+		v.Version = max(v.Version, c.Version)
 		v.Teams = append(v.Teams, c.Teams...)
 		for _, s := range c.Services {
 			v.addService(addRegistered(s, registered), domains, delays, o)
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -87,13 +87,13 @@
 }
 
 // updateView builds the view of the accepted values if they changed or there is no view yet, and returns their
-// position. Builds are serialized, so that an earlier view never replaces a later one.
-func (v *VM) updateView(changed bool, source string) modeler.Position {
+// position and version. Builds are serialized, so that an earlier view never replaces a later one.
+func (v *VM) updateView(changed bool, source string) (head modeler.Position, version uint64) {
 	v.viewMu.Lock()
 	defer v.viewMu.Unlock()
 	head, values := v.store.InForce()
-	if !changed && v.view.Load() != nil {
-		return head
+	if view := v.view.Load(); !changed && view != nil {
+		return head, view.Version
 	}
 	v.beforeViewBuild()
 	view := planner.NewView(head, v.cfg.FailureDomain, v.cfg.Links, values, v.observer)
@@ -101,6 +101,6 @@
 	v.shares.reset()
 	v.admitter.SetShares(view.Teams)
 	v.recorder.Record(recorder.Event{Kind: recorder.ConfigurationAccepted, Detail: revisionText(head)})
-	klog.InfoS("configuration: in force", "epoch", uint64(head.Epoch), "revision", uint64(head.Revision), "services", len(view.Services), "searchers", len(view.Searchers), "source", source)
-	return head
+	klog.InfoS("configuration: in force", "epoch", uint64(head.Epoch), "revision", uint64(head.Revision), "version", view.Version, "services", len(view.Services), "searchers", len(view.Searchers), "source", source)
+	return head, view.Version
 }
