configurer: searchers that left stay out when the store has them as ready again

Cause: a later epoch replaced the registration whatever its searcher had said since. The rule counts from the acknowledgement that the store has forgotten. Change: a VM remembers the last registration of a searcher that left. If a later epoch has a registration of the same start that is no later by the searcher's own sequence, it is older than the departure and held back until the searcher or the store writes again, LapseLimit (5 s) at the longest: the store removes the entry of a silent searcher within three heartbeats, so what is still there after that is there. What the searcher writes later, or after a new start, is used at once. Why it works: start and sequence are the searcher's own order of its words; the bound keeps a searcher that is well from being left out for good.

--- a/configurer/registration.go
+++ b/configurer/registration.go
@@ -17,6 +17,8 @@
 	// does not register it as ready.
 	heldRegistrations []modeler.Registration
 	deletedAt         time.Time // zero unless acceptedValue deleted the key
+	departed          *departure
+	copiedUntil       time.Time // until when the registration is held back; see holdBackCopied
 }
 
 // latest returns the position of the last value that was accepted or refused.
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -199,6 +199,9 @@
 		return
 	}
 	o.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
+	if !e.holdBackCopied(o.now, v, parsed) {
+		e.recordDeparture(o, v, parsed)
+	}
 	e.holdRegistration(o.now, parsed, s.usableUntil(o, parsed))
 	e.acceptedValue, e.configuration = v, parsed
 	e.deletedAt = time.Time{}
--- a/modeler/route.go
+++ b/modeler/route.go
@@ -49,6 +49,7 @@
 	Service     ServiceName   `json:"service"`
 	Slots       int           `json:"slots"`
 	Leaving     bool          `json:"leaving,omitempty"`
+	Sequence    uint64        `json:"-"` // the searcher's count of its own writes since its start
 	WarmUp      time.Duration `json:"-"` // how long from ReceivedAt on the searcher still warms up
 	ReceivedAt  time.Time     `json:"-"` // when the VM received the registration
 	UsableUntil time.Time     `json:"-"` // until when a leaving searcher may be sent requests; zero if it is not leaving
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -245,6 +245,10 @@
 		keep[view.Searchers[i].Address] = true
 	}
 	v.store.Prune(time.Now().Add(-DeletedKeyRetention))
+	if res := v.store.ReleaseCopied(time.Now()); res.Changed() {
+		klog.InfoS("configuration: registrations of an older copy are in use again", "count", res.Replaced)
+		v.applyRead(res)
+	}
 	v.dialer.Trim(keep)
 	for a := range keep {
 		if !slices.ContainsFunc(view.SearchersAt(a), func(n int32) bool { return v.isHolder(view, n) }) {
