watcher: a list of an earlier revision confirms nothing

A VM counted its configuration as complete, and told the others so, after each list of a store whose revision was below its own: it took nothing of the list, and no other VM began to read, as all were confirmed. Cause: a list that was read counted as complete, whatever it held. In one epoch a store never answers with an earlier revision than a VM has seen; one that does has gone back without saying so. Nothing of the list is used, as before. Result: the case 'list of an earlier revision' of TestAnswersOfOtherEpochsAreNotUsed failed before (confirmed, no error), passes now.

--- a/watcher/epoch_test.go
+++ b/watcher/epoch_test.go
@@ -58,15 +58,17 @@
 	tests := []struct {
 		name  string
 		watch modeler.Position
+		lost  error
 		pages map[string]Page
 		want  error
 	}{
-		{"pages of two epochs", in(2, 5), map[string]Page{"": {Values: value("a", in(2, 3)), More: true, Position: in(2, 5)}, "a": {Values: value("b", in(3, 9)), Position: in(3, 9)}}, errPageOfAnotherList},
-		{"watch of an earlier epoch", in(0, 99), nil, errEarlierEpoch},
-		{"list of an earlier epoch", in(2, 5), map[string]Page{"": {Values: value("a", in(0, 3)), Position: in(0, 5)}}, errEarlierEpoch},
+		{"pages of two epochs", in(2, 5), nil, map[string]Page{"": {Values: value("a", in(2, 3)), More: true, Position: in(2, 5)}, "a": {Values: value("b", in(3, 9)), Position: in(3, 9)}}, errPageOfAnotherList},
+		{"watch of an earlier epoch", in(0, 99), nil, nil, errEarlierEpoch},
+		{"list of an earlier revision", in(1, 3), ErrHistoryLost, map[string]Page{"": {Values: value("a", in(1, 2)), Position: in(1, 3)}}, errEarlierRevision},
+		{"list of an earlier epoch", in(2, 5), nil, map[string]Page{"": {Values: value("a", in(0, 3)), Position: in(0, 5)}}, errEarlierEpoch},
 	}
 	for _, tt := range tests {
-		f := newFollower(func(modeler.Revision) (Page, error) { return Page{Position: tt.watch}, nil }, tt.pages)
+		f := newFollower(func(modeler.Revision) (Page, error) { return Page{Position: tt.watch}, tt.lost }, tt.pages)
 		f.Store.Offer(time.Now(), in(1, 4), value("k", in(1, 4)))
 		confirmed := false
 		f.Confirm = func(time.Time) { confirmed = true }
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -22,6 +22,9 @@
 // errEarlierEpoch reports an answer of an earlier epoch than that of the configuration in force.
 var errEarlierEpoch = errors.New("the store answered with an earlier epoch than that of the configuration in force")
 
+// errEarlierRevision reports a list of an earlier revision than that of the configuration in force, in the same epoch.
+var errEarlierRevision = errors.New("the store listed an earlier revision than that of the configuration in force, and names no later epoch")
+
 // Page is one answer of the platform's store to List or Watch.
 type Page struct {
 	Values   []configurer.Value
@@ -144,8 +147,8 @@
 		if n == 0 {
 			first = p.Position
 		}
-		if first.Epoch < held.Epoch {
-			return errEarlierEpoch
+		if err := checkNotEarlier(first, held); err != nil {
+			return err
 		}
 		if p.Position.Epoch != first.Epoch || first.After(p.Position) {
 			return errPageOfAnotherList
@@ -164,6 +167,17 @@
 	return nil
 }
 
+// checkNotEarlier returns an error if the store is at an earlier position than what this VM held before it asked.
+func checkNotEarlier(store, held modeler.Position) error {
+	switch {
+	case store.Epoch < held.Epoch:
+		return errEarlierEpoch
+	case held.After(store):
+		return errEarlierRevision
+	}
+	return nil
+}
+
 // logList logs what the store answered and what became of a list's values. The positions are those of the store in the
 // watch that failed and in the first page.
 func (f *Follower) logList(res *configurer.Result, lostAt, first modeler.Position, values int) {
