configurer: a copied registration does not replace the searcher's last word

A searcher that had started again under its id in the time that the store lost was addressed where it had run before, or counted as leaving as its earlier start did, until it wrote again: unit cases with start 1 in the copy and start 2 in force. Cause: only departures were remembered; any other registration of the copy replaced the one in force, whatever its searcher had said since. Change: a VM remembers the last word of each searcher, by start and sequence.

--- a/configurer/departure_test.go
+++ b/configurer/copied_test.go
@@ -23,8 +23,8 @@
 	return modeler.Configuration{Registrations: []modeler.Registration{r}}, nil
 }
 
-// Guards against searchers that are in use again because a later epoch has their registrations from before they left.
-func TestRegistrationsFromBeforeADepartureAreHeldBack(t *testing.T) {
+// Guards against searchers that are in use, or not, because a later epoch has what they registered before their last word.
+func TestCopiedRegistrationsDoNotGoBeforeTheLastWord(t *testing.T) {
 	const ready, draining, removed = "ready 1 5", "draining 1 9", ""
 	tests := []struct {
 		name   string
@@ -43,6 +43,9 @@
 		{"removed, written by the searcher before the list", []string{ready, removed}, "ready 1 6", nil, 1, 1},
 		{"drained, started again under its id", []string{ready, draining}, "ready 2 1", nil, 1, 1},
 		{"ready all the time", []string{ready, "ready 1 7"}, ready, nil, 1, 1},
+		{"started again, drained before", []string{ready, draining, "ready 2 1"}, draining, nil, 1, 0},
+		{"started again, drained before and written again", []string{ready, draining, "ready 2 1"}, draining, []string{"ready 2 2"}, 1, 1},
+		{"started again, drained since", []string{ready, "ready 2 1", "draining 2 2"}, ready, nil, 0, 1},
 		{"removed and registered again", []string{ready, removed, "ready 1 8"}, ready, nil, 1, 1},
 		{"still draining", []string{ready, draining}, draining, nil, 0, 0},
 	}
@@ -66,3 +69,22 @@
 		}
 	}
 }
+
+// Guards against requests to the address of an earlier start because a later epoch has the registration of then.
+func TestCopiedRegistrationOfAnEarlierStartIsNotInForce(t *testing.T) {
+	now := time.Now()
+	s := NewStore(WithDecode(decodeEntry), WithHold(time.Minute, time.Hour))
+	s.Offer(now, in(1, 2), []Value{{"servers/a", in(1, 2), []byte("ready 2 1")}})
+	s.Replace(now.Add(time.Second), in(2, 1), []Value{{"servers/a", in(2, 1), []byte("ready 1 5")}})
+	start := func() int64 {
+		_, configurations := s.InForce()
+		return configurations[0].Registrations[0].Searcher.StartedAt.Unix()
+	}
+	if got := start(); got != 2 {
+		t.Errorf("the registration of start %d is in force, want that of start 2", got)
+	}
+	s.ReleaseCopied(now.Add(time.Second + LapseLimit))
+	if got := start(); got != 1 {
+		t.Errorf("the registration of start %d is in force, want what the store still has", got)
+	}
+}
--- a/configurer/registration.go
+++ b/configurer/registration.go
@@ -17,8 +17,8 @@
 	// does not register it as ready.
 	heldRegistrations []modeler.Registration
 	deletedAt         time.Time // zero unless acceptedValue deleted the key
-	departed          *departure
-	copiedUntil       time.Time // until when the registration is held back; see holdBackCopied
+	lastWord          *lastWord // nil if no registration was accepted
+	copiedUntil       time.Time // until when a copied registration is not in force, or zero; see takeCopied
 }
 
 // latest returns the position of the last value that was accepted or refused.
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -198,10 +198,17 @@
 		s.refuse(o, e, v, errors.Errorf("version %d is lower than %d, which an earlier epoch had", parsed.Version, e.configuration.Version))
 		return
 	}
-	o.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
-	if !e.holdBackCopied(o.now, v, parsed) {
-		e.recordDeparture(o, v, parsed)
+	if e.isCopied(v, parsed) {
+		s.takeCopied(o, e, v, parsed)
+		return
 	}
+	e.setLastWord(o, v, parsed)
+	s.put(o, e, v, parsed)
+}
+
+// put replaces the accepted value. The caller holds the lock.
+func (s *Store) put(o *offer, e *entry, v Value, parsed modeler.Configuration) {
+	o.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
 	e.holdRegistration(o.now, parsed, s.usableUntil(o, parsed))
 	e.acceptedValue, e.configuration = v, parsed
 	e.deletedAt = time.Time{}
