dialer: the call stands apart from its sending, tests beside what they test

dialer.go held the dialer, the call and its reply; dialer_test.go held the stand-in searcher and the tests of six concepts. Call, Message and Reply are in call.go, the reasons not to send a call are in Dialer.withhold, and the stand-in and the tests are in searcher_test, check_test, silence_test, wire_test, conn_test and pool_test. Behaviour and tests are unchanged.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync"
 	"time"
@@ -12,7 +11,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
-	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
 
@@ -76,90 +74,19 @@
 	return d
 }
 
-// Call is one request to a searcher.
-type Call struct {
-	Address  netip.AddrPort
-	Path     string
-	Request  modeler.RequestID
-	Attempt  string
-	Index    modeler.IndexName
-	Shard    modeler.ShardName
-	Snapshot modeler.SnapshotID
-	Deadline time.Time
-	Body     []byte
-	// ProvenOnly excludes idle connections that were not read from within ProvenPeriod.
-	ProvenOnly bool
-	// NewConnection excludes idle connections.
-	// A call that waits for the budget may still get a connection that another call has just put back.
-	NewConnection bool
-	// Linger is how long Do still waits for the answer after its context has ended.
-	Linger time.Duration
-	// MaxBodyBytes limits the body of the answer, in bytes; 0 means MaxAnswerBytes.
-	MaxBodyBytes int
-	// ExpectedSearcher is the searcher that should have the address.
-	ExpectedSearcher modeler.SearcherName
-	// Allowed is asked right before the request is written, and by Dialer.TurnBackWaiters while the call waits for a
-	// connection; nil allows it. The searcher may have begun to leave since it was picked, or have asked for no requests.
-	Allowed func() bool
-	// Message is the caller's request, for wires that pass it on.
-	Message *Message
-
-	onNewConn bool // set by Do: no other call has used the connection
-}
-
-func (c *Call) maxBodyBytes() int {
-	if c.MaxBodyBytes == 0 {
-		return MaxAnswerBytes
-	}
-	return c.MaxBodyBytes
-}
-
-// Message is the part of a caller's request that is passed on unchanged.
-type Message struct {
-	Method string
-	Target string
-	Host   string
-	Header http.Header
-}
-
-// Reply is the result of a call.
-type Reply struct {
-	Fault    gatherer.Fault
-	Body     []byte
-	Draining bool
-	Leaving  bool                 // the searcher leaves, and says so in all its answers from now on
-	Withheld bool                 // Call.Allowed did not allow the request, or the VM dropped the searcher's connections
-	Held     []modeler.SnapshotID // snapshots of the call's index that the searcher holds; nil if it did not say
-	Late     bool                 // the deadline had passed before the request was sent or run
-	Limit    modeler.RateLimit    // as the searcher states it in this answer
-	// RetryAfter is how long the searcher wants no requests from this VM after it has refused this one; 0 if it didn't say.
-	RetryAfter time.Duration
-	AtLimit    bool // the searcher reset the new connection because other clients hold all that it allows
-	Err        error
-
-	// NativeWire leaves these empty.
-	Status      int
-	Signature   string
-	ContentType string
-}
-
 // errWithheld reports a call that was not sent because Call.Allowed did not allow it, or the pool was closed.
 var errWithheld = errors.New("the searcher leaves or has asked for no requests")
 
 // Do sends a call on one connection and returns the result. It never sends the call a second time.
 func (d *Dialer) Do(ctx context.Context, call Call) Reply {
 	p := d.pool(call.Address)
-	c, err := p.take(ctx, d.now(), d.silence.minLastRead(), idlePolicyOf(call), call.Allowed)
+	c, err := p.take(ctx, d.now(), d.silence.minLastRead(), call.idlePolicy(), call.Allowed)
 	if err != nil {
 		return Reply{Fault: gatherer.FaultNotSent, AtLimit: errors.Is(err, errAtLimit), Withheld: errors.Is(err, errWithheld), Err: err}
 	}
-	if late := !d.now().Before(call.Deadline); late || ctx.Err() != nil {
-		p.putUnused(c)
-		return Reply{Fault: gatherer.FaultNotSent, Late: late, Err: context.Cause(ctx)}
-	}
-	if call.Allowed != nil && !call.Allowed() {
+	if r, unsent := d.withhold(ctx, &call); unsent {
 		p.putUnused(c)
-		return Reply{Fault: gatherer.FaultNotSent, Withheld: true, Err: errWithheld}
+		return r
 	}
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
@@ -187,6 +114,18 @@
 	return r
 }
 
+// withhold returns the reply to a call that is not to be sent although it has a connection: its deadline has passed, its
+// context has ended, or the searcher wants no requests.
+func (d *Dialer) withhold(ctx context.Context, call *Call) (r Reply, unsent bool) {
+	if late := !d.now().Before(call.Deadline); late || ctx.Err() != nil {
+		return Reply{Fault: gatherer.FaultNotSent, Late: late, Err: context.Cause(ctx)}, true
+	}
+	if call.Allowed != nil && !call.Allowed() {
+		return Reply{Fault: gatherer.FaultNotSent, Withheld: true, Err: errWithheld}, true
+	}
+	return Reply{}, false
+}
+
 // decode decodes an answer. An answer on which the wire panics counts as corrupt, and its connection is closed.
 func (d *Dialer) decode(res *fasthttp.Response, call *Call) (r Reply) {
 	var err error
@@ -208,17 +147,6 @@
 	p.put(c, d.now())
 }
 
-// idlePolicyOf returns which idle connections the call may use.
-func idlePolicyOf(c Call) idlePolicy {
-	switch {
-	case c.NewConnection:
-		return newOnly
-	case c.ProvenOnly:
-		return provenIdle
-	}
-	return anyIdle
-}
-
 // handleFailure closes the connection of a failed exchange and returns the fault.
 // silent means that no byte of an answer came. A searcher that crashes may have sent a part of its answer, so a connection
 // that ends in an answer is lost like one that ends before it, unless the answer was malformed before the end.
