--- a/gatherer/hedge.go
+++ b/gatherer/hedge.go
@@ -35,8 +35,8 @@
 // hedge sends another attempt for a slow shard. While the Hold hook says so, it only probes the same replica on a new
 // connection, so that a request that crashes searchers never reaches a second replica. Otherwise the first hedge goes to
 // an untried replica. Each later one is a probe on a new connection, because all open connections may be silent; it goes
-// to an untried replica, or to the first replica if all were tried and it may still be sent requests. A denied hedge is asked for again as LateHedge and
-// then as Probe, because the Spend hook may allow these where it denied Hedge.
+// to an untried replica, or to the first replica if all were tried and it may still be sent requests. A denied hedge is
+// asked for again as LateHedge and then as Probe, because the Spend hook may allow these where it denied Hedge.
 func (q *Query) hedge(now time.Time, shard int32, out []Action) []Action {
 	s := &q.shards[shard]
 	if !q.withinLimits(s) {
--- a/gatherer/query.go
+++ b/gatherer/query.go
@@ -1,8 +1,6 @@
 package gatherer
 
-import (
-	"time"
-)
+import "time"
 
 // phase is the state of one shard.
 type phase uint8
@@ -127,6 +125,20 @@
 		return out
 	}
 	a := &q.attempts[id]
+	q.recordFault(a, f)
+	s := &q.shards[a.shard]
+	if s.phase != shardOpen || s.openAttempts > 0 {
+		return out
+	}
+	if s.hasLoss && q.hooks.Hold(q.cleared) {
+		s.phase = shardHeld
+		return out
+	}
+	return q.retry(now, a.shard, out)
+}
+
+// recordFault closes an attempt and counts its fault.
+func (q *Query) recordFault(a *attempt, f Fault) {
 	a.open = false
 	s := &q.shards[a.shard]
 	s.openAttempts--
@@ -145,73 +157,9 @@
 		q.lostSearchers = append(q.lostSearchers, a.searcher)
 		s.hasLoss = true
 	}
-	if s.phase != shardOpen || s.openAttempts > 0 {
-		return out
-	}
-	if s.hasLoss && q.hooks.Hold(q.cleared) {
-		s.phase = shardHeld
-		return out
-	}
-	return q.retry(now, a.shard, out)
-}
-
-func (q *Query) retry(now time.Time, shard int32, out []Action) []Action {
-	s := &q.shards[shard]
-	if s.openAttempts > 0 {
-		return out
-	}
-	if !q.withinLimits(s) || !q.faultAllowsRetry(s) || (!q.isFreeRetry(s.lastFault) && !q.hooks.Spend(now, shard, Retry)) {
-		q.failShard(shard)
-		return out
-	}
-	return q.sendToUntried(now, shard, Retry, out)
-}
-
-// withinLimits reports whether the shard may have another attempt by MaxAttempts and MaxRuns.
-func (q *Query) withinLimits(s *shardState) bool {
-	return int(s.attempts) < MaxAttempts && (q.plan.MaxRuns == 0 || int(s.mayHaveRun) < q.plan.MaxRuns)
-}
-
-// faultAllowsRetry reports whether the shard may have another attempt after its last fault.
-func (q *Query) faultAllowsRetry(s *shardState) bool {
-	return !q.plan.AtMostOnce || s.lastFault.NotRun()
-}
-
-// isFreeRetry reports whether a retry after the fault takes nothing from the budget.
-func (q *Query) isFreeRetry(f Fault) bool {
-	if q.plan.ChargeEveryRetry {
-		return f == FaultNotSent
-	}
-	return f == FaultDraining || f == FaultNotHeld || f == FaultNotSent
-}
-
-func (q *Query) failShard(shard int32) {
-	q.shards[shard].phase = shardFailed
-	q.settledShards++
-	q.failedShards++
-}
-
-// coverageOutOfReach reports whether a fail-fast query can no longer reach its least coverage. It counts shards, while
-// Coverage counts documents.
-func (q *Query) coverageOutOfReach() bool {
-	n := len(q.shards)
-	return q.plan.FailFast && float64(n-q.failedShards)/float64(n) < q.plan.LeastCoverage
-}
-
-// sendToUntried sends an attempt to a replica that the shard has not tried. If there is none, the shard fails unless
-// one of its attempts is open.
-func (q *Query) sendToUntried(now time.Time, shard int32, p Purpose, out []Action) []Action {
-	s := &q.shards[shard]
-	searcher, ok := q.hooks.Pick(now, shard, s.searchers[:s.attempts])
-	if !ok {
-		if s.openAttempts == 0 {
-			q.failShard(shard)
-		}
-		return out
-	}
-	return q.send(now, shard, searcher, p, out)
 }
 
+// send sends an attempt of the shard to a searcher.
 func (q *Query) send(now time.Time, shard, searcher int32, p Purpose, out []Action) []Action {
 	s := &q.shards[shard]
 	s.searchers[s.attempts] = searcher
@@ -228,6 +176,12 @@
 	return append(out, Action{ActionSend, p, id, shard, searcher})
 }
 
+func (q *Query) failShard(shard int32) {
+	q.shards[shard].phase = shardFailed
+	q.settledShards++
+	q.failedShards++
+}
+
 // advance follows every event: it asks for a check if one is needed, sends what the query needs next, or ends the
 // query.
 func (q *Query) advance(now time.Time, out []Action) []Action {
@@ -248,6 +202,13 @@
 	return !now.Before(q.plan.Patience) && q.Coverage() >= q.plan.LeastCoverage
 }
 
+// coverageOutOfReach reports whether a fail-fast query can no longer reach its least coverage. It counts shards, while
+// Coverage counts documents.
+func (q *Query) coverageOutOfReach() bool {
+	n := len(q.shards)
+	return q.plan.FailFast && float64(n-q.failedShards)/float64(n) < q.plan.LeastCoverage
+}
+
 // finish cancels all open attempts and ends the query.
 func (q *Query) finish(out []Action) []Action {
 	q.done = true
