server: answers, deadlines and signs of overload in files of their own

search.go and forward.go held the types of an answer, the reading of the caller's time budget, the choice of the deadline, the refusals and the signs of overload beside the handlers. Behaviour is unchanged.

--- a/server/refusal.go
+++ b/server/refusal.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -75,3 +76,21 @@
 	w.WriteHeader(row.Status)
 	_, _ = w.Write(body)
 }
+
+// searchRefusal returns the refusal of a search that crashed searchers or got no answer, and otherwise nil. The refusal
+// has the most exact kind that the results of the attempts prove.
+func searchRefusal(ctx context.Context, res *scatterer.Result) error {
+	switch {
+	case res.Crashed:
+		return refuser.New(refuser.CrashedSearchers, "the query crashed searchers and was stopped")
+	case res.Answered > 0:
+		return nil
+	case res.Refused || res.Sent == 0:
+		return refuser.New(refuser.NoSearcher, "no searcher could take the query")
+	case res.Sent == res.Shed:
+		return refuser.New(refuser.Overloaded, "every searcher refused the query before running it")
+	case ctx.Err() != nil:
+		return refuser.New(refuser.CallerGone, "the caller went away")
+	}
+	return refuser.New(refuser.NoAnswer, "no searcher answered in time")
+}
--- a/server/search.go
+++ b/server/search.go
@@ -10,7 +10,6 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
 	"github.com/pistachiogap/pistachiogap/observer"
@@ -39,45 +38,6 @@
 	return p
 }
 
-// Coverage says how much of the snapshot an answer covers.
-type Coverage struct {
-	ShardsTotal       int                 `json:"shards-total"`
-	ShardsAnswered    int                 `json:"shards-answered"`
-	DocumentsTotal    uint64              `json:"documents-total"`
-	DocumentsSearched uint64              `json:"documents-searched"`
-	Missing           []modeler.ShardName `json:"missing,omitempty"`
-}
-
-// Outcome says whether an answer covers all shards.
-type Outcome string
-
-// The outcomes of an answered search.
-const (
-	Complete Outcome = "complete"
-	Partial  Outcome = "partial"
-)
-
-// SearchAnswer is the answer to a search.
-type SearchAnswer struct {
-	Request  modeler.RequestID  `json:"request-id"`
-	Snapshot modeler.SnapshotID `json:"snapshot"`
-	Hits     []dialer.Hit       `json:"hits"`
-	Coverage Coverage           `json:"coverage"`
-	Complete bool               `json:"complete"`
-	Outcome  Outcome            `json:"outcome"`
-	Attempts int                `json:"attempts"`
-	VM       modeler.VMName     `json:"vm"`
-}
-
-// Check returns the problems of a received answer.
-func (a *SearchAnswer) Check() modeler.Problems {
-	var p modeler.Problems
-	if a.Coverage.ShardsAnswered > a.Coverage.ShardsTotal {
-		p.Add("exceeds shards-total", "coverage", "shards-answered")
-	}
-	return p
-}
-
 // searchInput is a decoded and checked search.
 type searchInput struct {
 	id       modeler.RequestID
@@ -141,20 +101,6 @@
 	return id, nil
 }
 
-// timeBudget returns how long the caller waits for the answer, from HeaderDeadline, or the refusal of a request
-// without a valid one.
-func timeBudget(r *http.Request) (time.Duration, error) {
-	s := r.Header.Get(HeaderDeadline)
-	if s == "" {
-		return 0, refuser.New(refuser.BadDeadline, "header %s is missing", HeaderDeadline)
-	}
-	ms, err := strconv.ParseInt(s, 10, 64)
-	if err != nil || ms < modeler.MinDeadline.Milliseconds() || ms > modeler.MaxDeadline.Milliseconds() {
-		return 0, refuser.New(refuser.BadDeadline, "header %s must be from 1 to %d", HeaderDeadline, modeler.MaxDeadline.Milliseconds())
-	}
-	return time.Duration(ms) * time.Millisecond, nil
-}
-
 // serve admits, runs and answers one search.
 func (h *SearchHandler) serve(ctx context.Context, in searchInput) (SearchAnswer, error) {
 	start := time.Now()
@@ -199,24 +145,6 @@
 	return res, nil
 }
 
-// widespreadMissing returns how many shards did not answer, if they are too many to be explained by the loss of a few
-// services, and so show that searchers are overloaded. After a crash it returns 0.
-func widespreadMissing(res *scatterer.Result) int {
-	if res.Crashed {
-		return 0
-	}
-	return ifWidespread(res.Shards-res.Answered, res.Shards)
-}
-
-// ifWidespread returns n if it is too large a fraction of the total to come from a few searchers, and 0 otherwise. A
-// single one is never widespread, however small the total.
-func ifWidespread(n, total int) int {
-	if n > 1 && n*WidespreadDivisor > total {
-		return n
-	}
-	return 0
-}
-
 // gatherPinned gathers the search on the snapshot that the view pins for the index. If a searcher no longer or not
 // yet holds that snapshot and the view has pinned another one by then, it gathers the search once more on that one.
 // The last argument of Pin is 0 because a snapshot of any age will do.
@@ -240,45 +168,3 @@
 	second.Sent += res.Sent
 	return second
 }
-
-// effectiveDeadline returns the caller's deadline or the one that the index allows, whichever is earlier.
-func (h *SearchHandler) effectiveDeadline(in searchInput, index *planner.Index) time.Time {
-	limit := time.Now().Add(index.Policy.Deadline.Duration)
-	if in.deadline.Before(limit) {
-		return in.deadline
-	}
-	return limit
-}
-
-// searchRefusal returns the refusal of a search that crashed searchers or got no answer, and otherwise nil. The refusal
-// has the most exact kind that the results of the attempts prove.
-func searchRefusal(ctx context.Context, res *scatterer.Result) error {
-	switch {
-	case res.Crashed:
-		return refuser.New(refuser.CrashedSearchers, "the query crashed searchers and was stopped")
-	case res.Answered > 0:
-		return nil
-	case res.Refused || res.Sent == 0:
-		return refuser.New(refuser.NoSearcher, "no searcher could take the query")
-	case res.Sent == res.Shed:
-		return refuser.New(refuser.Overloaded, "every searcher refused the query before running it")
-	case ctx.Err() != nil:
-		return refuser.New(refuser.CallerGone, "the caller went away")
-	}
-	return refuser.New(refuser.NoAnswer, "no searcher answered in time")
-}
-
-func (h *SearchHandler) answer(in searchInput, res *scatterer.Result) SearchAnswer {
-	a := SearchAnswer{
-		Request: in.id, Snapshot: res.Snapshot, Hits: res.Hits, VM: h.Name, Attempts: res.Sent,
-		Coverage: Coverage{res.Shards, res.Answered, res.TotalDocuments, res.Documents, res.Missing},
-		Complete: res.Answered == res.Shards, Outcome: Partial,
-	}
-	if a.Complete {
-		a.Outcome = Complete
-	}
-	if a.Hits == nil {
-		a.Hits = []dialer.Hit{}
-	}
-	return a
-}
