faker: one loop of callers for searches and orders; metrics and waits have files of their own

Searches and orders each had the same start, stop and fields for their callers, three functions read and decoded the state of a VM in the same way, two metrics summed over the searchers with the same loop, and expect.go held the comparison, all metrics and the verb await. callerLoops runs the callers of both, readState decodes, sumOverSearchers sums; expect.go keeps the comparison, metrics.go and await.go have the rest, searches.go and orders.go one kind of traffic each. The list of tickets, which nothing read, and the path that sendOrder returned to no one are gone. Checks and scripts are unchanged.

--- a/faker/callerverbs.go
+++ b/faker/callerverbs.go
@@ -17,7 +17,7 @@
 	case "start":
 		s.searches.start(o)
 	case "stop":
-		s.searches.stop()
+		s.searches.loops.stop()
 	case "reset":
 		s.searches.reset()
 	default:
@@ -31,7 +31,7 @@
 	case "start":
 		s.orders.start(o)
 	case "stop":
-		s.orders.stop()
+		s.orders.loops.stop()
 	default:
 		return errors.New("usage: bookings start|stop")
 	}
--- a/faker/scenario.go
+++ b/faker/scenario.go
@@ -196,3 +196,14 @@
 	}
 	return vm.settings.Listen.Callers, vm.process.Process.Pid
 }
+
+// runningVMs returns a copy of s.vms, the running VMs by number.
+func (s *Scenario) runningVMs() map[int]*scenarioVM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[int]*scenarioVM{}
+	for n, vm := range s.vms {
+		out[n] = vm
+	}
+	return out
+}
