faker: experiment and demo start their VMs through one function

The demo and the experimenter each listed their VMs on the stand-in platform, started them within the process and waited until they were ready, with the same lines. Environment.StartVMs does it for both; the settings stay with the caller.

--- a/commander/demo.go
+++ b/commander/demo.go
@@ -72,7 +72,11 @@
 		return err
 	}
 	defer environment.Stop()
-	vms, vmsDone, err := startVMs(ctx, environment)
+	var vms []runner.Settings
+	for n := 1; n <= demoVMs; n++ {
+		vms = append(vms, environment.Settings(n))
+	}
+	vmsDone, err := environment.StartVMs(ctx, vms, demoReadyLimit)
 	if err != nil {
 		return err
 	}
@@ -93,23 +97,6 @@
 	return nil
 }
 
-func startVMs(ctx context.Context, environment *faker.Environment) ([]runner.Settings, []<-chan error, error) {
-	var settings []runner.Settings
-	var done []<-chan error
-	for n := 1; n <= demoVMs; n++ {
-		settings = append(settings, environment.Settings(n))
-	}
-	environment.PublishListing(settings...)
-	for _, s := range settings {
-		vm, err := runner.NewVM(s)
-		if err != nil {
-			return nil, done, err
-		}
-		done = append(done, spawner.Go(ctx, vm.Run))
-	}
-	return settings, done, faker.WaitReady(ctx, settings, demoReadyLimit)
-}
-
 // runDemo warms the VMs up, makes one searcher slow and crashes another one, and measures a load, a search and a booking
 // that is sent twice.
 func runDemo(ctx context.Context, environment *faker.Environment, vms []runner.Settings) (*demoReport, error) {
--- a/experimenter/experimenter.go
+++ b/experimenter/experimenter.go
@@ -137,16 +137,7 @@
 		s.RelayWidth = e.spec.RelayWidth
 		e.vms = append(e.vms, s)
 	}
-	e.environment.PublishListing(e.vms...)
-	var done []<-chan error
-	for _, s := range e.vms {
-		vm, err := runner.NewVM(s, runner.WithMechanisms(mechanisms))
-		if err != nil {
-			return done, err
-		}
-		done = append(done, spawner.Go(ctx, vm.Run))
-	}
-	return done, faker.WaitReady(ctx, e.vms, ReadyLimit)
+	return e.environment.StartVMs(ctx, e.vms, ReadyLimit, runner.WithMechanisms(mechanisms))
 }
 
 func (e *experiment) load(d time.Duration, rate float64) loader.Load {
--- a/faker/vm.go
+++ b/faker/vm.go
@@ -24,6 +24,21 @@
 	hiddenFromBalancer bool
 }
 
+// StartVMs lists VMs on the platform, starts them within this process and waits until all are ready. It returns a channel
+// for each VM that was started, which brings the result of its run.
+func (e *Environment) StartVMs(ctx context.Context, vms []runner.Settings, limit time.Duration, options ...runner.Option) ([]<-chan error, error) {
+	e.PublishListing(vms...)
+	var done []<-chan error
+	for _, s := range vms {
+		vm, err := runner.NewVM(s, options...)
+		if err != nil {
+			return done, err
+		}
+		done = append(done, spawner.Go(ctx, vm.Run))
+	}
+	return done, WaitReady(ctx, vms, limit)
+}
+
 // startVM starts a VM within this process or as a process of its own. The balancer sends it no requests until the VM has
 // passed its health check in the command "vm ready", or until the command "vm show", which checks nothing.
 func (s *Scenario) startVM(n int, o Options, inProcess bool) error {
