prover: the benchmark of the whole path runs its lines through runVerbs

benchmarkWholePath had a second copy of the loop that runs lines of the scenario language; it calls runVerbs, which also names the line that failed.

--- a/prover/bench_test.go
+++ b/prover/bench_test.go
@@ -50,13 +50,7 @@
 	}
 	scenario := faker.NewScenario(context.Background(), program, b.TempDir(), newNetwork(), b.Logf)
 	defer scenario.Close()
-	for _, line := range []string{"world ../examples/hanbit.jsonc service=0s link=0s", "vm start 1", "vm ready 1"} {
-		words := strings.Fields(line)
-		args, o := faker.ParseOptions(words[1:])
-		if err := faker.Verbs()[words[0]](scenario, args, o); err != nil {
-			b.Fatal(err)
-		}
-	}
+	runVerbs(b, scenario, "world ../examples/hanbit.jsonc service=0s link=0s", "vm start 1", "vm ready 1")
 	addr, pid := scenario.VMProcess(1)
 	client := caller.NewClient(netip.Addr{})
 	defer client.Close()
