scatterer: picker, plan and hooks of a run are made in plan.go

newRun made the run, asked whether the request is a search or one on a route, and set picker, plan and hooks for either in between. newPicker, newPlan and hooks now make one value each in plan.go, and newRun names them in order. The picker is now made before the plan, not after it; making it draws no random number and reads no clock. Behaviour is unchanged.

--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -46,44 +46,23 @@
 }
 
 func newRun(s *Scatterer, req Request) *run {
+	shards := len(req.Snapshot.Shards)
 	r := &run{
 		s: s, req: req,
-		picker:           planner.Picker{View: req.View, Index: req.Index.Name, Snapshot: req.Snapshot, Random: s.random},
 		fingerprint:      fingerprintOf(&req),
 		attemptPrefix:    string(req.ID) + "." + strconv.FormatUint(rand.Uint64(), 36) + ".",
-		results:          make(chan attemptResult, len(req.Snapshot.Shards)+extraResults),
+		answeredShards:   make([]bool, shards),
+		results:          make(chan attemptResult, shards+extraResults),
 		startedAt:        s.now(),
-		reachedSearchers: make(map[int32]bool, len(req.Snapshot.Shards)),
+		reachedSearchers: make(map[int32]bool, shards),
 		isSampled:        s.Recorder.Sampled(req.ID),
 	}
 	policy := req.Index.Policy
-	r.hedgeBudget, r.retryBudget = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, len(req.Snapshot.Shards))
-	plan := r.newPlan()
-	hold := s.hold
-	if req.Forward == nil {
-		r.picker.Spread = planner.NewSpread(len(req.Snapshot.Shards))
-	} else {
-		r.picker.Reserve = req.Forward.Reserve
-		r.picker.StallLimit = stallLimit(req.View, req.Snapshot)
-		r.picker.ConnectionNeed = r.connectionNeed
-		r.forwardPlan(&plan)
-		if len(plan.Shards) == 1 {
-			// A single shard is never held: no other shard's answer could release it.
-			hold = func(bool) bool { return false }
-		}
-	}
-	r.markLeftOut(&plan)
-	r.plan = plan
-	r.answeredShards = make([]bool, len(plan.Shards))
-	r.query = gatherer.NewQuery(plan, gatherer.Hooks{
-		Pick:       r.picker.Pick,
-		MaySend:    r.maySend,
-		Spend:      r.spend,
-		HedgeAfter: r.hedgeAfter,
-		Hold:       hold,
-		Matches:    s.matches,
-	})
-	r.recordPlan(plan)
+	r.hedgeBudget, r.retryBudget = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, shards)
+	r.picker = r.newPicker()
+	r.plan = r.newPlan()
+	r.query = gatherer.NewQuery(r.plan, r.hooks())
+	r.recordPlan(r.plan)
 	return r
 }
 
@@ -92,49 +71,6 @@
 	return r.req.View.Searchers[searcher].Health.MaySend(now)
 }
 
-// connectionNeed returns whether a connection to the searcher is idle, must be opened, or must be opened although the
-// searcher is at its connection limit.
-func (r *run) connectionNeed(searcher int32) planner.ConnectionNeed {
-	address := r.req.View.Searchers[searcher].Address
-	switch {
-	case r.s.Dialer.HasIdle(address):
-		return planner.HasConnection
-	case r.s.Dialer.AtLimit(address):
-		return planner.NeedsConnectionAtLimit
-	}
-	return planner.NeedsConnection
-}
-
-// fingerprintOf returns the fingerprint of a request's content.
-func fingerprintOf(req *Request) observer.Fingerprint {
-	if req.Forward != nil {
-		return req.Forward.Fingerprint
-	}
-	return observer.FingerprintOf(req.Index.Name, req.Body)
-}
-
-func (r *run) newPlan() gatherer.Plan {
-	policy := r.req.Index.Policy
-	now := r.s.now()
-	plan := gatherer.Plan{
-		Request:       r.req.ID,
-		Snapshot:      r.req.Snapshot.ID,
-		Shards:        make([]gatherer.Shard, len(r.req.Snapshot.Shards)),
-		Deadline:      r.req.Deadline,
-		Patience:      r.req.Deadline,
-		LeastCoverage: policy.LeastCoverage,
-		Probes:        gatherer.CanaryProbes,
-		KnownGood:     r.s.Quarantine.KnownGood(r.fingerprint.At(r.req.Snapshot.ID), now),
-	}
-	if policy.Patience.Duration > 0 {
-		plan.Patience = now.Add(policy.Patience.Duration)
-	}
-	for i, shard := range r.req.Snapshot.Shards {
-		plan.Shards[i] = gatherer.Shard{Name: shard.Name, Documents: shard.Documents}
-	}
-	return plan
-}
-
 // spend reports whether an extra attempt is allowed. Under pressure a search may only send probes: their new
 // connections show whether the open ones are silent.
 func (r *run) spend(now time.Time, shard int32, p gatherer.Purpose) bool {
