observer: an entry of an earlier start takes what the searcher said

Cause: the store may come back from a copy that has the entry of an earlier incarnation, under the same id and address. Join gave it a state of which nothing is known, so requests went to the incarnation that runs, though it leaves or has asked for none. Change: the state of an earlier start than that known, of the same id, address and service, takes over leaving, pause and limit for OlderEntryPeriod (10 s) at most; by then the searcher has written again. A searcher that really started with a time of day that was set back gets requests after that period. Result: TestEntryOfAnEarlierIncarnationTakesItsWord failed in its three cases and passes; observer, planner and scatterer pass.

--- a/observer/departed.go
+++ b/observer/departed.go
@@ -11,6 +11,10 @@
 // DepartedMemory is how long the state of a searcher whose entry is missing, or names another incarnation, is kept.
 const DepartedMemory = DefaultMaxBackoff
 
+// OlderEntryPeriod is how long an entry of an earlier start than that known counts as one of the same searcher. The store
+// has such an entry after it came back from an older copy, until the searcher writes again.
+const OlderEntryPeriod = 10 * time.Second
+
 // incarnation names one run of a searcher.
 type incarnation struct {
 	address   netip.AddrPort
@@ -57,3 +61,22 @@
 	defer s.mu.Unlock()
 	return s.leaving || !s.drainingUntil.IsZero() || !s.backoffUntil.IsZero() || s.limit.quota.Limited()
 }
+
+// isAfter reports whether the state is that of a later start of the named searcher of the service.
+func (s *Searcher) isAfter(i incarnation) bool {
+	return s.name == i.name && s.joined == i.service && s.startedAt.UnixMicro() > i.startedAt
+}
+
+// takeWord takes over what another state of the searcher says of the requests that it takes, for OlderEntryPeriod at most.
+// No one else may have the state s yet.
+func (s *Searcher) takeWord(now time.Time, from *Searcher) {
+	from.mu.Lock()
+	defer from.mu.Unlock()
+	until := now.Add(OlderEntryPeriod)
+	s.drainingUntil = earliest(from.drainingUntil, until)
+	if from.leaving {
+		s.drainingUntil = until
+	}
+	s.backoffUntil = earliest(from.backoffUntil, until)
+	s.limit = from.limit
+}
--- a/observer/departed_test.go
+++ b/observer/departed_test.go
@@ -51,3 +51,36 @@
 		})
 	}
 }
+
+// Guards against requests to a searcher that leaves while its entry is one of an earlier incarnation, as the store has it
+// after it came back from an older copy. A searcher whose time of day was set back gets requests after OlderEntryPeriod.
+func TestEntryOfAnEarlierIncarnationTakesItsWord(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:80")
+	now := time.Now()
+	for name, say := range map[string]func(s *Searcher){
+		"leaves":     func(s *Searcher) { s.MarkLeaving(now) },
+		"drains":     func(s *Searcher) { s.MarkDraining(now) },
+		"wants none": func(s *Searcher) { s.BackOff(now, time.Hour) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := NewObserver()
+			desk, board := o.Service("desk"), o.Service("board")
+			say(o.Join(addr, "a", backoffStart, desk))
+			s := o.Join(addr, "a", backoffStart.Add(-time.Minute), desk)
+			if s.MaySend(now.Add(OlderEntryPeriod - time.Second)) {
+				t.Error("a searcher gets requests by an entry of an earlier incarnation")
+			}
+			if !s.MaySend(now.Add(OlderEntryPeriod + time.Minute)) {
+				t.Error("a searcher that started with an earlier time of day gets no requests")
+			}
+			if s = o.Join(addr, "a", backoffStart.Add(-time.Minute), board); !s.MaySend(now) {
+				t.Error("a searcher of another service takes the word of the one before")
+			}
+		})
+	}
+	o := NewObserver()
+	o.Join(addr, "a", backoffStart, o.Service("desk")).BackOff(now, time.Second)
+	if s := o.Join(addr, "a", backoffStart.Add(-time.Minute), o.Service("desk")); !s.MaySend(now.Add(time.Second)) {
+		t.Error("an entry of an earlier incarnation makes a pause longer")
+	}
+}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -65,12 +65,7 @@
 	defer o.mu.Unlock()
 	s := o.find(a, name)
 	if s == nil || !s.isIncarnation(startedAt, service) {
-		next := o.recall(incarnation{a, name, service.name, startedAt.UnixMicro()})
-		if next == nil {
-			next = o.newJoined(service)
-		}
-		o.replace(a, s, next)
-		s = next
+		s = o.begin(a, s, incarnation{a, name, service.name, startedAt.UnixMicro()}, service)
 	}
 	s.name, s.startedAt, s.joined = name, startedAt, service.name
 	if o.expectPauses {
@@ -97,6 +92,19 @@
 	return o.newSearcher(float64(InitialLatency))
 }
 
+// begin sets and returns the state of an incarnation in place of old, or beside the others at the address if old is nil.
+func (o *Observer) begin(a netip.AddrPort, old *Searcher, i incarnation, service *Service) *Searcher {
+	next := o.recall(i)
+	if next == nil {
+		next = o.newJoined(service)
+		if old != nil && old.isAfter(i) {
+			next.takeWord(time.Now(), old)
+		}
+	}
+	o.replace(a, old, next)
+	return next
+}
+
 // replace sets a state in place of old, or beside the others at the address if old is nil.
 func (o *Observer) replace(a netip.AddrPort, old, next *Searcher) {
 	if old == nil {
