--- a/watcher/bound_test.go
+++ b/watcher/bound_test.go
@@ -16,7 +16,7 @@
 func TestUnfinishedListDeletesNothing(t *testing.T) {
 	const keys = 500
 	value := func(n int) configurer.Value {
-		return configurer.Value{Key: fmt.Sprintf("servers/s-%03d", n), Revision: modeler.Revision(n + 1), Text: []byte("{}")}
+		return configurer.Value{Key: fmt.Sprintf("servers/s-%03d", n), Position: modeler.Position{Revision: modeler.Revision(n + 1)}, Text: []byte("{}")}
 	}
 	var all []configurer.Value
 	for n := range keys {
@@ -47,7 +47,7 @@
 				},
 				Store: configurer.NewStore(configurer.WithDecode(platform.Decode)),
 			}
-			f.Store.Offer(time.Now(), keys, all)
+			f.Store.Offer(time.Now(), at, all)
 			err := f.Step(t.Context())
 			if removed > 0 {
 				t.Errorf("%d keys were deleted that the pages read lack, and the list succeeded: %v", removed, err)
