watcher: a list that has no end deletes nothing

Searchers went out of use, and keys were deleted, that the store has: 100 of 500 keys with more pages than the bound, 499 of 500 after an empty page that has more behind it (TestUnfinishedListDeletesNothing). Cause: a list that ended at the bound of pages, or at an empty page, counted as whole, and what the pages read lacked as deleted. Change: such a list is an error, a failed step that confirms nothing. Reading the pages and using them are two functions now.

--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -19,6 +19,9 @@
 // errPageOfAnotherList reports a page that is older than the first page of its list, or of another epoch.
 var errPageOfAnotherList = errors.New("the store answered with a page of another list")
 
+// errUnfinishedList reports a list whose last page was not read: it has more than maxPages, or an empty page before it.
+var errUnfinishedList = errors.New("the store's list has no end")
+
 // errEarlierEpoch reports an answer of an earlier epoch than that of the configuration in force.
 var errEarlierEpoch = errors.New("the store answered with an earlier epoch than that of the configuration in force")
 
@@ -37,7 +40,7 @@
 	// StoreWait is how long a watch of the store waits for a change. The time is part of the request, unlike in a watch of
 	// the configuration service (WatchTimeout). Its end without a change confirms the configuration; see Follower.Confirm.
 	StoreWait = time.Second
-	// maxPages bounds the pages of one list; list ignores further pages.
+	// maxPages bounds the pages of one list.
 	maxPages = 400
 	// watchPause is the time between a successful step and the next.
 	watchPause = 200 * time.Millisecond
@@ -130,41 +133,50 @@
 	return a
 }
 
-// list reads pages until the last one, an empty one or the limit maxPages, which is not an error. A key that the VM's
-// store has and the pages read lack counts as deleted, unless it was changed after the revision of the first page. lostAt is
-// the position of the store in the answer that led to the list.
+// list reads all values. A key that the VM's store has and the list lacks counts as deleted, unless it was changed after the
+// position of the first page. lostAt is the position of the store in the answer that led to the list.
 func (f *Follower) list(ctx context.Context, lostAt modeler.Position) error {
-	var all []configurer.Value
-	var first modeler.Position
+	sent := time.Now()
+	at, values, err := f.readPages(ctx)
+	if err != nil {
+		return err
+	}
+	res := f.Store.Replace(time.Now(), at, values)
+	f.logList(&res, lostAt, at, len(values))
+	f.Changed(res)
+	f.cursor = at
+	f.Confirm(sent)
+	return nil
+}
+
+// readPages returns the values of all pages of one list, and the position of the first.
+func (f *Follower) readPages(ctx context.Context) (at modeler.Position, values []configurer.Value, err error) {
 	held := f.Store.Head()
 	after := ""
-	sent := time.Now()
 	for n := range maxPages {
 		p, err := f.List(ctx, after)
 		if err != nil {
-			return err
+			return modeler.Position{}, nil, err
 		}
 		if n == 0 {
-			first = p.Position
+			at = p.Position
+		}
+		if err := checkNotEarlier(at, held); err != nil {
+			return modeler.Position{}, nil, err
 		}
-		if err := checkNotEarlier(first, held); err != nil {
-			return err
+		if p.Position.Epoch != at.Epoch || at.After(p.Position) {
+			return modeler.Position{}, nil, errPageOfAnotherList
 		}
-		if p.Position.Epoch != first.Epoch || first.After(p.Position) {
-			return errPageOfAnotherList
+		values = append(values, p.Values...)
+		if !p.More {
+			return at, values, nil
 		}
-		all = append(all, p.Values...)
-		if !p.More || len(p.Values) == 0 {
+		if len(p.Values) == 0 {
 			break
 		}
 		after = p.Values[len(p.Values)-1].Key
 	}
-	res := f.Store.Replace(time.Now(), first, all)
-	f.logList(&res, lostAt, first, len(all))
-	f.Changed(res)
-	f.cursor = first
-	f.Confirm(sent)
-	return nil
+	return modeler.Position{}, nil, errUnfinishedList
 }
 
 // checkNotEarlier returns an error if the store is at an earlier position than what this VM held before it asked.
