--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -107,11 +107,11 @@
 	switch {
 	case err != nil && !lost:
 		return err
-	case p.Position.Epoch < f.cursor.Epoch:
-		return errEarlierEpoch
 	case lost || p.Position.Epoch > f.cursor.Epoch:
 		f.historyLost++
 		return f.list(ctx, p.Position)
+	case p.Position.Epoch < f.cursor.Epoch:
+		return errEarlierEpoch
 	}
 	f.watchedAt, f.historyLost = time.Now(), 0
 	if p.Position.After(f.cursor) {
