soaker: the store comes back from an older copy

Cause: no soak had a store that loses what it has acknowledged; users saw such a return. Change: a kind of fault. Each searcher writes its entry up to four times, the store is away for a quarter of the drawn time, comes back from a copy 1 to 5 s old with the epoch one higher, and what it lost is written again in random order within 2 s: the configuration published last, each searcher's latest entry or its removal. Planned changes wait, and so does 'store refuses'. A copy is never older than the VMs' first readiness. The kind is drawn by a generator of its own from the same seed, after each other fault, one time in 25 on average, so the seeds draw of the other faults what they drew. Two checks are stricter. checkLeaving exempted a VM for good that was disturbed before the searcher left, or all VMs if the store was disturbed since; now the time only runs from steadyWindow after the last disturbance, and is the same where nothing was exempt. checkRecovered also asks for a lookup once the store is undisturbed long enough for its service to be checked, and wants 200.

--- a/soaker/checks_test.go
+++ b/soaker/checks_test.go
@@ -161,9 +161,7 @@
 
 // checkRuns compares what all searchers ran with the answers that callers got, at the end of a soak.
 func (d *deployment) checkRuns() {
-	d.mu.Lock()
-	all := append(slices.Clone(d.retired), slices.Collect(maps.Values(d.replicas))...)
-	d.mu.Unlock()
+	all := d.allReplicas()
 	runs := map[string]int{}
 	orderRuns := map[string]int{}
 	for _, x := range all {
@@ -195,21 +193,19 @@
 	}
 }
 
-// checkLeaving checks that a searcher that left runs no request more than drainWithin and 500 ms later. A VM is exempt if
-// it was disturbed later than steadyWindow before the searcher left, because it may not know that the searcher left. If
-// the store was disturbed since then, all VMs are exempt for the same reason.
+// checkLeaving checks that a searcher that left runs no request more than drainWithin and 500 ms later. A VM that was
+// disturbed later than steadyWindow before the searcher left may not know that the searcher left, and has this time from
+// steadyWindow after its last disturbance on. If the store was disturbed since then, so do all VMs.
 func (d *deployment) checkLeaving(x *replica, r imitator.Run) {
-	if x.leftAt.IsZero() || r.At.Before(x.leftAt.Add(drainWithin+500*time.Millisecond)) {
+	if x.leftAt.IsZero() {
 		return
 	}
 	d.mu.Lock()
 	storeDisturbedAt := d.storeDisturbedAt
 	d.mu.Unlock()
-	if x.leftAt.Sub(storeDisturbedAt) < steadyWindow {
-		return
-	}
 	for _, v := range d.vms {
-		if v.addr == r.From && v.undisturbedSince().Before(x.leftAt.Add(-steadyWindow)) {
+		known := later(x.leftAt, later(storeDisturbedAt, v.undisturbedSince()).Add(steadyWindow))
+		if v.addr == r.From && r.At.After(known.Add(drainWithin+500*time.Millisecond)) {
 			d.history.addViolation("%s sent a request to searcher %s %s after the searcher left", v.name, x.ID, r.At.Sub(x.leftAt))
 		}
 	}
--- a/soaker/faults_test.go
+++ b/soaker/faults_test.go
@@ -1,7 +1,11 @@
 package soaker
 
 import (
+	"cmp"
+	"math/rand/v2"
 	"net/http"
+	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -24,6 +28,8 @@
 	linkState faker.LinkState
 	duration  time.Duration
 	variant   bool // selects one of two variants: how a searcher drains, or the service of lookups
+	copyAge   time.Duration
+	order     uint64 // seed of how many changes the store loses, and of the order in which they are written again
 }
 
 var faults = []fault{
@@ -63,6 +69,8 @@
 		p.vm.markUnplannedDisturbance()
 	}},
 	{"store refuses", func(d *deployment, p *faultParams) {
+		d.awayMu.Lock()
+		defer d.awayMu.Unlock()
 		d.disturbStore(p.duration, func() { d.store.SetRefusing(http.StatusServiceUnavailable) })
 		d.store.SetRefusing(0)
 		d.disturbStore(0, func() {}) // records the end of the disturbance
@@ -93,6 +101,84 @@
 	{"index is resharded", func(d *deployment, _ *faultParams) { d.withChangeLock(d.reshard) }},
 }
 
+// storeReturns is drawn apart from the other faults, so that what a seed draws of them does not depend on it.
+var storeReturns = fault{"store comes back from an older copy", func(d *deployment, p *faultParams) {
+	d.withChangeLock(func() {
+		d.awayMu.Lock()
+		defer d.awayMu.Unlock()
+		rnd := rand.New(rand.NewPCG(p.order, p.order))
+		d.writeEntries(rnd.IntN(maxLostWrites))
+		d.disturbStore(p.duration/4, d.stopStore)
+		lost := d.returnStore(later(time.Now().Add(-p.copyAge), d.readyAt))
+		d.disturbStore(0, func() { d.rewriteAll(lost, rnd, d.rewrite) })
+	})
+}}
+
+// rewriteWithin is how long after the return of the store its writers take to write again what it lost.
+const rewriteWithin = 2 * time.Second
+
+// maxLostWrites bounds how often each searcher writes its entry right before the store goes away, so that the store's
+// revisions may stay far below the lost ones.
+const maxLostWrites = 5
+
+// writeEntries writes the entries of all searchers again, some times each.
+func (d *deployment) writeEntries(times int) {
+	for range times {
+		for _, x := range d.allReplicas() {
+			if x.state != "" {
+				d.register(x, x.state)
+			}
+		}
+	}
+}
+
+// stopStore makes the store refuse all calls, and cuts its connections.
+func (d *deployment) stopStore() {
+	d.store.SetRefusing(http.StatusServiceUnavailable)
+	d.store.CloseClientConnections()
+}
+
+// returnStore makes the store what it was at the time, and lets it answer again. It returns the keys whose changes were lost.
+func (d *deployment) returnStore(at time.Time) (lost []string) {
+	d.epoch++
+	lost = d.store.ReturnFrom(at, strconv.Itoa(d.epoch))
+	d.store.SetRefusing(0)
+	return lost
+}
+
+// rewriteAll has the keys written again in random order, at random times within rewriteWithin.
+func (d *deployment) rewriteAll(keys []string, rnd *rand.Rand, rewrite func(key string)) {
+	delays := map[string]time.Duration{}
+	for _, k := range keys {
+		delays[k] = time.Duration(rnd.Int64N(int64(rewriteWithin)))
+	}
+	start := time.Now()
+	for _, k := range slices.SortedFunc(slices.Values(keys), func(a, b string) int { return cmp.Compare(delays[a], delays[b]) }) {
+		d.wait(time.Until(start.Add(delays[k])))
+		rewrite(k)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// drawReturn picks at random whether the store comes back from an older copy next, and the parameters of that fault.
+func (d *deployment) drawReturn() (p *faultParams, ok bool) {
+	ok = d.returnRnd.IntN(returnShare) == 0
+	return &faultParams{
+		duration: time.Duration(300+d.returnRnd.IntN(2500)) * time.Millisecond,
+		copyAge:  time.Duration(1000+d.returnRnd.IntN(4000)) * time.Millisecond,
+		order:    d.returnRnd.Uint64(),
+	}, ok
+}
+
+// returnShare is how many other faults are drawn for each return of the store from an older copy, on average.
+const returnShare = 25
+
 // awaitExit waits for the exit of a VM that got SIGTERM. After killAfter it records a violation and kills the VM.
 func (d *deployment) awaitExit(v *vm, exited <-chan struct{}) {
 	select {
@@ -167,9 +253,9 @@
 		d.addReplica(x.Service)
 		x.SetOverride(imitator.Leave)
 		if announce {
-			d.store.Put("servers/"+x.ID, x.Registration("draining", x.proxy.Address.String()))
+			d.register(x, "draining")
 		} else {
-			d.store.Remove("servers/" + x.ID)
+			d.unregister(x)
 		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -197,7 +283,7 @@
 	for id, x := range d.replicas {
 		for _, s := range old {
 			if x.Service == s {
-				d.store.Remove("servers/" + id)
+				d.unregister(x)
 				x.leftAt = time.Now()
 				delete(d.replicas, id)
 				d.retired = append(d.retired, x)
--- a/soaker/soak_test.go
+++ b/soaker/soak_test.go
@@ -78,6 +78,7 @@
 	d := newDeployment(ctx, t, binary, seed, *vmCount)
 	defer d.stop()
 	d.waitReady()
+	d.readyAt = time.Now()
 	var wg sync.WaitGroup
 	callersCtx, stopCallers := context.WithCancel(ctx)
 	for n := range *callerCount {
@@ -106,13 +107,17 @@
 
 // injectFaults starts faults at random intervals, so that they overlap, and waits until all are over. A VM is drawn for
 // every fault, even a fault of the store or of a searcher. A fault is left out while an earlier one with the same VM
-// lasts.
+// lasts. A return of the store from an older copy belongs to no VM and is never left out.
 func (d *deployment) injectFaults() {
 	var wg sync.WaitGroup
 	busy := map[*vm]bool{}
 	var mu sync.Mutex
 	for end := time.Now().Add(*faultPeriod); time.Now().Before(end); d.wait(time.Duration(d.rnd.IntN(900)) * time.Millisecond) {
 		f, p := d.drawFault()
+		if p, ok := d.drawReturn(); ok {
+			_, _ = fmt.Fprintf(d.vms[0].log, "soak: %s %s: for %s, %s old\n", time.Now().UTC().Format(time.RFC3339Nano), storeReturns.name, p.duration/4, p.copyAge)
+			wg.Go(func() { storeReturns.inject(d, p) })
+		}
 		mu.Lock()
 		wasBusy := busy[p.vm]
 		busy[p.vm] = true
@@ -149,7 +154,8 @@
 	}
 }
 
-// checkRecovered checks that every VM is ready and answers a sweep with 200 once the faults are over.
+// checkRecovered checks that every VM is ready and answers a sweep and a lookup with 200 once the faults are over. It
+// sends the lookup when the store has been undisturbed for so long that the configuration is checked too.
 func (d *deployment) checkRecovered() {
 	d.waitReady()
 	for i, v := range d.vms {
@@ -157,6 +163,15 @@
 			d.history.addViolation("%s answered a sweep with status %d after the end of the faults, not 200", v.name, status)
 		}
 	}
+	d.mu.Lock()
+	steadyAt := d.storeDisturbedAt.Add(steadyWindow + applyWithin)
+	d.mu.Unlock()
+	d.wait(time.Until(steadyAt) + time.Millisecond)
+	for i, v := range d.vms {
+		if status := d.request(d.ctx, http.DefaultClient, v, fmt.Sprintf("recovered-lookup-%d", i), 5); status != http.StatusOK {
+			d.history.addViolation("%s answered a lookup with status %d after the end of the faults, not 200", v.name, status)
+		}
+	}
 }
 
 // withChangeLock runs f, a planned change of the deployment, while no other planned change runs.
--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -56,6 +57,7 @@
 type replica struct {
 	*imitator.Searcher
 	proxy  *faker.Proxy
+	state  string    // that it registered last; empty if it removed its entry
 	leftAt time.Time // when its entry changed to draining or was removed; zero before
 }
 
@@ -64,6 +66,7 @@
 	t          *testing.T
 	ctx        context.Context
 	rnd        *rand.Rand
+	returnRnd  *rand.Rand // draws the returns of the store from older copies
 	binary     string
 	store      *imitator.Store
 	storeProxy *faker.Proxy // between the VMs and the store
@@ -71,7 +74,8 @@
 	network    netip.Prefix // of all addresses; seeds that are equal modulo 200 share it
 	history    *history
 
-	changeMu         sync.Mutex          // held during a planned change; guards nextHost, nextID, configVersion and indexVersion
+	changeMu         sync.Mutex          // held during a planned change; guards nextHost to indexVersion and each replica's state
+	awayMu           sync.Mutex          // held while the store refuses all calls and until what it lost is written again; guards epoch
 	mu               sync.Mutex          // guards replicas, retired, links, storeDisturbedAt and each replica's leftAt
 	replicas         map[string]*replica // by id, without the retired
 	retired          []*replica
@@ -79,15 +83,19 @@
 	nextHost         int
 	nextID           int
 	configVersion    int
-	indexVersion     int // position in indexVersions
+	published        imitator.Configuration // last
+	omittedRoute     string                 // route that the next configurations leave out, if any
+	indexVersion     int                    // position in indexVersions
 	storeDisturbedAt time.Time
+	epoch            int       // of the store
+	readyAt          time.Time // when all VMs were ready first
 }
 
 func newDeployment(ctx context.Context, t *testing.T, binary string, seed uint64, vms int) *deployment {
 	d := &deployment{
-		t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, seed)), binary: binary, store: imitator.NewStore(),
+		t: t, ctx: ctx, rnd: rand.New(rand.NewPCG(seed, seed)), returnRnd: rand.New(rand.NewPCG(seed, ^seed)), binary: binary, store: imitator.NewStore(),
 		replicas: map[string]*replica{}, links: map[string]faker.LinkState{}, history: &history{},
-		nextHost: 1,
+		nextHost: 1, epoch: 1,
 	}
 	t.Cleanup(d.store.Close)
 	d.network = netip.PrefixFrom(netip.AddrFrom4([4]byte{127, 60, byte(seed % 200), 0}), 24)
@@ -145,19 +153,56 @@
 	d.mu.Lock()
 	d.replicas[id] = x
 	d.mu.Unlock()
-	d.store.Put("servers/"+id, x.Registration("ready", x.proxy.Address.String()))
+	d.register(x, "ready")
 	return x
 }
 
+// register writes the entry of a searcher in the given state.
+func (d *deployment) register(x *replica, state string) {
+	d.store.Put("servers/"+x.ID, x.Registration(state, x.proxy.Address.String()))
+	x.state = state
+}
+
+// unregister removes the entry of a searcher.
+func (d *deployment) unregister(x *replica) {
+	d.store.Remove("servers/" + x.ID)
+	x.state = ""
+}
+
+// rewrite writes again what the writer of the key wrote last: the configuration, or the entry of a searcher or its removal.
+func (d *deployment) rewrite(key string) {
+	if key == "op/config" {
+		d.store.Publish(d.published)
+		return
+	}
+	for _, x := range d.allReplicas() {
+		switch {
+		case key != "servers/"+x.ID:
+		case x.state == "":
+			d.store.Remove(key)
+		default:
+			d.register(x, x.state)
+		}
+	}
+}
+
+// allReplicas returns all searchers, also the retired ones.
+func (d *deployment) allReplicas() []*replica {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return append(slices.Clone(d.retired), slices.Collect(maps.Values(d.replicas))...)
+}
+
 // publish writes the next configuration, with the service of lookups and the index version. The configuration's own
 // version rises each time, and skips some numbers.
 func (d *deployment) publish(lookup string, indexVersion int) {
 	d.indexVersion = indexVersion
 	d.configVersion += 1 + d.configVersion%3
-	d.store.Publish(imitator.Configuration{
+	d.published = imitator.Configuration{
 		Version: d.configVersion, Host: callersHost, Shards: indexVersions[indexVersion], LeastCoverage: leastCoverage, Limit: recordLimit, Lookup: lookup, Order: "portal",
-		Services: slices.Concat([]string{"portal", "board"}, indexVersions[0], indexVersions[1]),
-	})
+		Services: slices.Concat([]string{"portal", "board"}, indexVersions[0], indexVersions[1]), Omit: d.omittedRoute,
+	}
+	d.store.Publish(d.published)
 	d.history.recordLookup(time.Now(), lookup)
 }
 
