planner: a request good on other contents is not known to be good

A request that crashes searchers could reach more of them: one that was answered at a revision counts as good there for ten minutes, and a store from an older copy gives the revision out again for other contents. Change: it holds the epoch too; in epoch 0 it is as before. Result: TestRouteSnapshotsOfTwoEpochsDiffer failed before (374 and 374), passes now; planner, scatterer and server pass.

--- a/planner/route.go
+++ b/planner/route.go
@@ -102,9 +102,17 @@
 // the typical latency of the service, not by a quantile.
 const RouteHedgeQuantile = 0.95
 
-// newRouteSnapshot returns a snapshot with one shard for each service; its id is the view's revision.
+// epochShift is the number of bits of a route snapshot's id that hold the revision. Those above hold the epoch.
+const epochShift = 48
+
+// routeSnapshotID returns the id of the snapshots of routes in a view at the position.
+func routeSnapshotID(at modeler.Position) modeler.SnapshotID {
+	return modeler.SnapshotID(at.Epoch)<<epochShift | modeler.SnapshotID(at.Revision)
+}
+
+// newRouteSnapshot returns a snapshot with one shard for each service.
 func (v *View) newRouteSnapshot(services ...modeler.ServiceName) *Snapshot {
-	s := &Snapshot{ID: modeler.SnapshotID(v.Position.Revision), Shards: make([]Shard, len(services))}
+	s := &Snapshot{ID: routeSnapshotID(v.Position), Shards: make([]Shard, len(services))}
 	for i, name := range services {
 		n, ok := v.services[name]
 		if !ok {
