configurer: a pull from before deletions that a VM does not know is whole

A key that was deleted stayed in force at a VM for good, so that a searcher that was removed got requests: a VM that had been away longer than deletions are kept, or that pulled from one that had just started, received only what was new. Cause: a delta was taken as complete whatever the sender knew. Change: a store knows from which position on it has every deletion. A pull from before returns all values and says so (PullResult.whole), and the receiver deletes the others, as after a list. An earlier epoch is a case of this now. Delta and Apply exchange one value in place of a head and a list.

--- a/configurer/epoch_test.go
+++ b/configurer/epoch_test.go
@@ -134,8 +134,10 @@
 			case 2:
 				s.Replace(now, p.head(), p.list())
 			case 3:
-				head, values := vms[rapid.IntRange(0, 2).Draw(t, "peer")].Delta(s.Head())
-				s.Offer(now, head, values)
+				s.Apply(now, vms[rapid.IntRange(0, 2).Draw(t, "peer")].Delta(s.Head()))
+			}
+			if rapid.IntRange(0, 3).Draw(t, "pruned") == 0 {
+				s.Prune(now.Add(time.Second))
 			}
 			if before.After(s.Head()) {
 				t.Fatalf("head went back from %v to %v", before, s.Head())
@@ -146,8 +148,7 @@
 		want.Replace(now, p.head(), p.list())
 		vms[0].Replace(now, p.head(), p.list())
 		for _, s := range vms {
-			head, values := vms[0].Delta(s.Head())
-			s.Offer(now, head, values)
+			s.Apply(now, vms[0].Delta(s.Head()))
 			if got := teamsInForce(s); !slices.Equal(got, teamsInForce(want)) {
 				t.Fatalf("%q in force, want %q", got, teamsInForce(want))
 			}
@@ -175,8 +176,7 @@
 	if res := running.Replace(now, in(2, 351), nil); res.Changed() {
 		t.Error("the later version was deleted because the later epoch lacks it")
 	}
-	head, values := running.Delta(started.Head())
-	started.Offer(now, head, values)
+	started.Apply(now, running.Delta(started.Head()))
 	if got := teamsInForce(started); !slices.Equal(got, []string{"vvv"}) {
 		t.Errorf("%q in force at a VM that started later, want the version that its peer has kept", got)
 	}
--- a/configurer/registration_test.go
+++ b/configurer/registration_test.go
@@ -104,3 +104,22 @@
 		t.Errorf("%d keys after Prune past the deletion time, want 1", n)
 	}
 }
+
+// Guards against a key that stays in force at a VM that was away for longer than deletions are kept.
+func TestPullFromBeforeAPrunedDeletionIsWhole(t *testing.T) {
+	now := time.Now()
+	s, away := NewStore(WithDecode(decodeLine)), NewStore(WithDecode(decodeLine))
+	for _, x := range []*Store{s, away} {
+		x.Offer(now, at(2), []Value{{"servers/a", at(1), []byte("ready")}, {"servers/b", at(2), []byte("ready")}})
+	}
+	s.Offer(now, at(3), []Value{{"servers/a", at(3), nil}})
+	s.Prune(now.Add(time.Minute))
+	s.Offer(now, at(4), []Value{{"servers/c", at(4), []byte("ready")}})
+	away.Apply(now, s.Delta(away.Head()))
+	if ready, _ := countRegistrations(away); ready != 2 || away.Head() != at(4) {
+		t.Errorf("%d searchers ready at %v, want the 2 that the other VM has", ready, away.Head())
+	}
+	if d := s.Delta(at(3)); d.Whole || len(d.Values) != 1 {
+		t.Errorf("%d values after the deletion, whole: %v; want the one that is later", len(d.Values), d.Whole)
+	}
+}
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -30,13 +30,15 @@
 
 // Store is one VM's own copy of the platform's values. It holds the values in force on that VM.
 type Store struct {
-	mu         sync.Mutex
-	entries    map[string]*entry
-	head       modeler.Position
-	changedAt  time.Time
-	supersedes func(offered, held modeler.Position) bool
-	decode     func(key string, text []byte) (modeler.Configuration, error)
-	holdPeriod time.Duration
+	mu      sync.Mutex
+	entries map[string]*entry
+	head    modeler.Position
+	// completeFrom is the position from which on the store has every deletion. A list has none of those before it.
+	completeFrom modeler.Position
+	changedAt    time.Time
+	supersedes   func(offered, held modeler.Position) bool
+	decode       func(key string, text []byte) (modeler.Configuration, error)
+	holdPeriod   time.Duration
 	// lapsePeriod is how long the store must have been out of reach for a missing registration to count as lapsed.
 	lapsePeriod time.Duration
 	confirmedAt func() time.Time
@@ -111,6 +113,9 @@
 	if whole || o.newEpoch {
 		values = append(slices.Clip(values), s.missing(head, values)...)
 	}
+	if whole || o.newEpoch || s.head.IsZero() {
+		s.raiseCompleteFrom(head)
+	}
 	for _, v := range values {
 		s.acceptOne(o, v)
 	}
@@ -123,6 +128,12 @@
 	return o.Result
 }
 
+func (s *Store) raiseCompleteFrom(at modeler.Position) {
+	if at.After(s.completeFrom) {
+		s.completeFrom = at
+	}
+}
+
 // missing returns the deletions of the keys that the store holds and that are not among all values at the position.
 func (s *Store) missing(at modeler.Position, values []Value) []Value {
 	listed := make(map[string]bool, len(values))
@@ -149,14 +160,16 @@
 }
 
 // Prune removes the keys that were deleted before the given time.
-// Peers that pull from this VM no longer receive these deletions.
+// Peers that pull from this VM from before these deletions receive all values.
 func (s *Store) Prune(before time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, e := range s.entries {
-		if !e.deletedAt.IsZero() && e.deletedAt.Before(before) {
-			delete(s.entries, k)
+		if e.deletedAt.IsZero() || !e.deletedAt.Before(before) {
+			continue
 		}
+		delete(s.entries, k)
+		s.raiseCompleteFrom(e.acceptedValue.Position)
 	}
 }
 
@@ -259,22 +272,36 @@
 	return s.head
 }
 
+// Delta is what a Store has after a position.
+type Delta struct {
+	Head   modeler.Position
+	Values []Value
+	Whole  bool // whether Values are all that the Store has
+}
+
 // Delta returns the head and all values, accepted and refused, of a later position than since, and those in force that the
-// head's epoch lacks. If since is of an earlier epoch than the head, these are all values of the head's epoch.
-func (s *Store) Delta(since modeler.Position) (modeler.Position, []Value) {
+// head's epoch lacks. If the store may lack a deletion after since, these are all values.
+func (s *Store) Delta(since modeler.Position) Delta {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []Value
+	out := Delta{Head: s.head, Whole: s.completeFrom.After(since)}
 	for _, e := range s.entries {
-		if v := e.acceptedValue; v.Position.After(since) || (v.Position.Epoch < s.head.Epoch && len(v.Text) > 0) {
-			out = append(out, v)
+		v := e.acceptedValue
+		inForce := len(v.Text) > 0
+		if v.Position.After(since) || (inForce && (out.Whole || v.Position.Epoch < s.head.Epoch)) {
+			out.Values = append(out.Values, v)
 		}
 		if v := e.refusedValue; v.Position.After(since) {
-			out = append(out, v)
+			out.Values = append(out.Values, v)
 		}
 	}
-	slices.SortFunc(out, func(a, b Value) int { return a.Position.Compare(b.Position) })
-	return s.head, out
+	slices.SortFunc(out.Values, func(a, b Value) int { return a.Position.Compare(b.Position) })
+	return out
+}
+
+// Apply accepts or refuses the values that another Store has after the head of this one; see Offer and Replace.
+func (s *Store) Apply(now time.Time, d Delta) Result {
+	return s.accept(now, d.Head, d.Values, d.Whole)
 }
 
 // InForce returns the head and the configurations in force, sorted by key.
--- a/configurer/store_test.go
+++ b/configurer/store_test.go
@@ -92,8 +92,7 @@
 		var highest modeler.Revision
 		for _, i := range rapid.Permutation(slices.Collect(indexes(len(all)))).Draw(t, "order") {
 			direct.Offer(now, at(0), all[i:i+1])
-			head, values := direct.Delta(peer.Head())
-			peer.Offer(now, head, values)
+			peer.Apply(now, direct.Delta(peer.Head()))
 			if st := peer.State(); st.Revision < highest {
 				t.Fatalf("head revision went back from %d to %d", highest, st.Revision)
 			}
--- a/relayer/service.go
+++ b/relayer/service.go
@@ -69,8 +69,7 @@
 // Pull returns the configuration values that are newer than a position.
 func (s *Service) Pull(_ context.Context, r *messenger.PullRequest) (*messenger.PullResult, error) {
 	since := modeler.Position{Epoch: modeler.Epoch(r.GetSinceEpoch()), Revision: modeler.Revision(r.GetSince())}
-	head, values := s.Store.Delta(since)
-	return valuesToWire(head, values), nil
+	return deltaToWire(s.Store.Delta(since)), nil
 }
 
 // Sync merges the members that another VM sends. It returns the members in the buckets (see gossiper.Node.Digests)
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -50,11 +50,11 @@
 	defer spawner.Recover("pull", &err)
 	ctx, cancel := context.WithTimeout(ctx, PullTimeout)
 	defer cancel()
-	head, values, err := v.relayClient.Pull(ctx, a, v.store.Head())
+	delta, err := v.relayClient.Pull(ctx, a, v.store.Head())
 	if err != nil {
 		return
 	}
-	v.applyOffer(v.store.Offer(time.Now(), head, values), a.String())
+	v.applyOffer(v.store.Apply(time.Now(), delta), a.String())
 }
 
 // sourcePlatform is the source of a configuration that this VM has read from the platform, not from another VM.
--- a/watcher/follower_test.go
+++ b/watcher/follower_test.go
@@ -35,8 +35,7 @@
 		t.Error("a list with a page of an earlier list was used")
 	}
 	deleted := func() bool {
-		_, values := f.Store.Delta(modeler.Position{})
-		for _, v := range values {
+		for _, v := range f.Store.Delta(modeler.Position{}).Values {
 			if v.Key == "b" && len(v.Text) == 0 {
 				return true
 			}
