runner: late news of a leave does not concern the next searcher at the address

A healthy searcher got no requests from a VM for a minute if another one, which had its address before, had said that it leaves: news of a leave lives for a minute and reaches a VM that joins, was cut off or was suspended after the address is in use again (two seconds on the users' platform). Cause: the news names an address, which is used anew. Change: it marks only searchers that had started when it was sent, as far as their start is known. 'behind-ms' of 'store: listed' counts from the first list where no watch has had an answer; it was 0 there.

--- a/observer/address_test.go
+++ b/observer/address_test.go
@@ -51,3 +51,21 @@
 		t.Error("a searcher that has left may be sent requests")
 	}
 }
+
+// Guards against a searcher that gets no requests because one that had its address before has left.
+func TestNewsOfAnAddressDoesNotConcernALaterSearcher(t *testing.T) {
+	o := NewObserver()
+	addr := netip.MustParseAddrPort("10.0.0.1:80")
+	o.Join(addr, "b", backoffStart, o.Service("desk"))
+	if n := len(o.AtBefore(addr, backoffStart.Add(-time.Second))); n != 0 {
+		t.Errorf("%d searchers, want none of before the start", n)
+	}
+	if n := len(o.AtBefore(addr, backoffStart.Add(time.Second))); n != 1 {
+		t.Errorf("%d searchers, want the one that had started by then", n)
+	}
+	other := netip.MustParseAddrPort("10.0.0.2:80")
+	o.Join(other, "c", time.Time{}, o.Service("desk"))
+	if n := len(o.AtBefore(other, backoffStart)); n != 1 {
+		t.Errorf("%d searchers, want the one whose start is unknown", n)
+	}
+}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -51,6 +51,14 @@
 	return slices.Clone(o.searchers[a])
 }
 
+// AtBefore returns the states of At without those of searchers that started after the given time.
+func (o *Observer) AtBefore(a netip.AddrPort, t time.Time) []*Searcher {
+	states := o.At(a)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.DeleteFunc(states, func(s *Searcher) bool { return s.startedAt.After(t) })
+}
+
 func (o *Observer) newSearcher(latency float64) *Searcher {
 	return &Searcher{latency: latency, generation: &o.generation}
 }
--- a/runner/news.go
+++ b/runner/news.go
@@ -33,16 +33,17 @@
 			s.ReportSlow(now, n.Until, rand.Float64())
 		}
 	case gossiper.NewsDraining:
-		if v.markDraining(now, n.Address) {
+		if v.markDraining(now, n.Address, n.Until.Add(-DrainingNewsTTL)) {
 			v.recorder.Record(recorder.Event{Kind: recorder.SearcherDraining, Detail: "told by a peer: " + n.Address.String()})
 		}
 	}
 }
 
-// markDraining records that the searcher at the address drains, and reports whether this is new.
-func (v *VM) markDraining(now time.Time, a netip.AddrPort) bool {
+// markDraining records that the searcher which was at the address at the given time drains, and reports whether this is
+// new. News may come when another searcher has the address.
+func (v *VM) markDraining(now time.Time, a netip.AddrPort, at time.Time) bool {
 	isNew := false
-	for _, s := range v.observer.At(a) {
+	for _, s := range v.observer.AtBefore(a, at) {
 		isNew = s.MarkDraining(now) || isNew
 	}
 	return isNew
--- a/runner/upkeep.go
+++ b/runner/upkeep.go
@@ -121,7 +121,7 @@
 	}
 	now := time.Now()
 	for _, a := range l.Leaving {
-		if v.markDraining(now, a) {
+		if v.markDraining(now, a, now) {
 			v.announceDraining(a, "platform list")
 		}
 	}
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -65,7 +65,7 @@
 
 	storeLost   bool             // whether the last step failed
 	cursor      modeler.Position // the next watch asks for the changes after this position
-	watchedAt   time.Time        // when a watch last had an answer with all changes after the cursor
+	watchedAt   time.Time        // when a watch last had an answer with all changes after the cursor, or the first list was sent
 	historyLost int              // watches in a row whose changes the store did not have
 }
 
@@ -145,6 +145,9 @@
 	f.logList(&res, lostAt, at, len(values))
 	f.Changed(res)
 	f.cursor = at
+	if f.watchedAt.IsZero() {
+		f.watchedAt = sent
+	}
 	f.Confirm(sent)
 	return nil
 }
