--- a/gossiper/epoch_test.go
+++ b/gossiper/epoch_test.go
@@ -41,3 +41,29 @@
 		}
 	}
 }
+
+// Guards against pulls that repeat for ever because a VM does not count the version that it has pulled at the same head.
+func TestPullsEndOnceTheVersionIsHeld(t *testing.T) {
+	own := modeler.Position{Epoch: 2, Revision: 360}
+	c := newCluster(2)
+	c.deliver(c.nodes[1].SetHead(c.now, own, 7, nil))
+	from := c.nodes[0].Self()
+	pulls := func() (n int) {
+		c.now = c.now.Add(RumorPeriod)
+		for _, a := range c.nodes[1].Receive(c.now, &Packet{
+			Kind: Rumor, From: from.Name, Incarnation: from.Incarnation, Members: []Member{from}, Head: own, Version: 8, Stamp: c.nodes[0].clock.Now(),
+		}, nil) {
+			if a.Kind == ActionPull {
+				n++
+			}
+		}
+		return n
+	}
+	if n := pulls(); n != 1 {
+		t.Errorf("%d pulls of the later version, want 1", n)
+	}
+	c.deliver(c.nodes[1].SetHead(c.now, own, 8, nil))
+	if n := pulls(); n != 0 {
+		t.Errorf("%d pulls of the version that is held, want 0", n)
+	}
+}
