--- a/configurer/strays_test.go
+++ b/configurer/strays_test.go
@@ -22,8 +22,7 @@
 		if n, _ := countRegistrations(s); n != 0 {
 			t.Errorf("%s: %d searchers ready from an epoch that is over, want 0", name, n)
 		}
-		head, values := s.Delta(peer.Head())
-		peer.Offer(now, head, values)
+		peer.Apply(now, s.Delta(peer.Head()))
 		if n, _ := countRegistrations(peer); n != 0 {
 			t.Errorf("%s: %d searchers ready at a peer from an epoch that is over, want 0", name, n)
 		}
@@ -80,8 +79,7 @@
 	}
 	reader.Replace(now, in(2, 4), []Value{{"servers/a", in(2, 3), ready}})
 	reader.Offer(now, in(2, 5), []Value{{"servers/a", in(2, 5), nil}})
-	head, values := reader.Delta(other.Head())
-	other.Offer(now, head, values)
+	other.Apply(now, reader.Delta(other.Head()))
 	var got []int
 	for _, s := range []*Store{reader, other} {
 		s.Replace(now, in(3, 4), []Value{{"servers/a", in(3, 3), ready}})
@@ -115,8 +113,7 @@
 		s.Offer(now, in(1, 9), []Value{{"servers/a", in(1, 9), ready}})
 		s.Replace(now, in(2, 5+i), nil)
 	}
-	head, values := second.Delta(first.Head())
-	if res := first.Offer(now, head, values); res.Changed() {
+	if res := first.Apply(now, second.Delta(first.Head())); res.Changed() {
 		t.Errorf("result %+v for the removal of a key that is missing already, want no change", res)
 	}
 	first.Replace(now, in(3, 9), []Value{{"servers/a", in(3, 9), ready}})
@@ -148,7 +145,7 @@
 		default:
 			countRegistrations(s)
 			_ = s.State()
-			_, _ = s.Delta(in(1, 1))
+			_ = s.Delta(in(1, 1))
 		}
 	}
 }
--- a/relayer/values_test.go
+++ b/relayer/values_test.go
@@ -20,11 +20,11 @@
 	addr := netip.MustParseAddrPort("127.0.0.1:1")
 	c := &Client{peers: map[netip.AddrPort]messenger.Peer{addr: &Service{Store: s}}}
 	for since, want := range map[modeler.Position]int{in(2, 9): 0, in(2, 8): 1, in(1, 99): 2, {}: 2, in(3, 1): 0} {
-		head, values, err := c.Pull(t.Context(), addr, since)
-		if err != nil || head != in(2, 9) || len(values) != want {
-			t.Errorf("since %v: head %v, %d values, error %v; want head 2:9 and %d values", since, head, len(values), err, want)
+		d, err := c.Pull(t.Context(), addr, since)
+		if err != nil || d.Head != in(2, 9) || len(d.Values) != want {
+			t.Errorf("since %v: head %v, %d values, error %v; want head 2:9 and %d values", since, d.Head, len(d.Values), err, want)
 		}
-		for _, v := range values {
+		for _, v := range d.Values {
 			if v.Position.Epoch != 2 {
 				t.Errorf("since %v: key %s at %v, want epoch 2", since, v.Key, v.Position)
 			}
