configurer: what a VM inferred from one return is not the word of a searcher

Cause: a removal that a VM inferred from what a new epoch lacks was told apart from one that the store reported neither on the wire nor for a key that is missing already; and the times of a copied registration and of a hold ran from the first return, whether the store was there or not. Change: values of an offer are the store's word, only what they lack is inferred; deletions from before a VM's last list are not sent to peers, who infer them; a deletion of a deleted key is no news. A copied registration is put in force once the store is known to have had it LapseLimit after its last return, as received when it came. A hold for what an epoch lacks runs from the last return, if it still runs.

--- a/configurer/copied.go
+++ b/configurer/copied.go
@@ -29,14 +29,14 @@
 	return w.left && !r.Leaving
 }
 
-// setLastWord remembers what the accepted registration or its removal says of the searcher. That a new epoch lacks a
-// registration says nothing.
+// setLastWord remembers what the accepted registration or its removal says of the searcher. A removal that was inferred from
+// what a new epoch lacks says nothing.
 func (e *entry) setLastWord(o *offer, v Value, parsed modeler.Configuration) {
-	e.copiedUntil = time.Time{}
+	e.copiedAt = time.Time{}
 	if len(parsed.Registrations) > 0 {
 		r := parsed.Registrations[0]
 		e.lastWord = &lastWord{v.Position.Epoch, r.Searcher.StartedAt, r.Sequence, r.Leaving}
-	} else if e.lastWord != nil && !o.newEpoch {
+	} else if e.lastWord != nil && !o.inferred {
 		e.lastWord.epoch, e.lastWord.left = v.Position.Epoch, true
 	}
 }
@@ -57,8 +57,8 @@
 // takeCopied accepts a copied registration as the store's, but keeps in force what the searcher said last: that it is ready
 // as registered then, or that it has left. See ReleaseCopied.
 func (s *Store) takeCopied(o *offer, e *entry, v Value, parsed modeler.Configuration) {
-	if e.copiedUntil.IsZero() {
-		e.copiedUntil = o.now.Add(LapseLimit)
+	if e.copiedAt.IsZero() || v.Position.Epoch > e.acceptedValue.Position.Epoch {
+		e.copiedAt = o.now
 	}
 	if e.isReady() && !e.lastWord.left {
 		e.acceptedValue = v
@@ -70,20 +70,19 @@
 	s.put(o, e, v, parsed)
 }
 
-// ReleaseCopied puts copied registrations in force that the platform's store still has after LapseLimit: their searchers
-// are there.
+// ReleaseCopied puts copied registrations in force that the platform's store was known to have LapseLimit after its return:
+// their searchers are there.
 func (s *Store) ReleaseCopied(now time.Time) Result {
+	known := s.confirmedAt()
+	if known.IsZero() {
+		known = now
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := &offer{now: now, changedSince: now, Result: Result{Before: s.head, After: s.head}}
 	for _, e := range s.entries {
-		if e.copiedUntil.IsZero() || now.Before(e.copiedUntil) {
-			continue
-		}
-		e.copiedUntil, e.heldRegistrations = time.Time{}, nil
-		if parsed, err := s.parse(e.acceptedValue); err == nil {
-			e.setLastWord(o, e.acceptedValue, parsed)
-			s.put(o, e, e.acceptedValue, parsed)
+		if !e.copiedAt.IsZero() && !known.Before(e.copiedAt.Add(LapseLimit)) {
+			s.release(o, e)
 		}
 	}
 	if o.Changed() {
@@ -91,3 +90,18 @@
 	}
 	return o.Result
 }
+
+// release puts the copied registration of an entry in force, as received when the copy came.
+func (s *Store) release(o *offer, e *entry) {
+	receivedAt := e.copiedAt
+	e.copiedAt, e.heldRegistrations = time.Time{}, nil
+	parsed, err := s.parse(e.acceptedValue)
+	if err != nil {
+		return
+	}
+	e.setLastWord(o, e.acceptedValue, parsed)
+	s.put(o, e, e.acceptedValue, parsed)
+	for i := range parsed.Registrations {
+		parsed.Registrations[i].ReceivedAt = receivedAt
+	}
+}
--- a/configurer/registration.go
+++ b/configurer/registration.go
@@ -18,7 +18,7 @@
 	heldRegistrations []modeler.Registration
 	deletedAt         time.Time // zero unless acceptedValue deleted the key
 	lastWord          *lastWord // nil if no registration was accepted
-	copiedUntil       time.Time // until when a copied registration is not in force, or zero; see takeCopied
+	copiedAt          time.Time // when a copied registration came that is not in force, or zero; see takeCopied
 }
 
 // latest returns the position of the last value that was accepted or refused.
@@ -29,17 +29,44 @@
 	return e.acceptedValue.Position
 }
 
-// isRenewed reports whether a value is the one held, as a later epoch has it: the position is news, the text isn't.
+// isRenewed reports whether a later value is what is held: the key was deleted before, or a later epoch has the same text.
 func (e *entry) isRenewed(v Value) bool {
 	held := e.acceptedValue
-	return v.Position.Epoch > held.Position.Epoch && len(v.Text) > 0 && bytes.Equal(v.Text, held.Text)
+	if len(v.Text) == 0 {
+		return len(held.Text) == 0 && !held.Position.IsZero()
+	}
+	return v.Position.Epoch > held.Position.Epoch && bytes.Equal(v.Text, held.Text)
+}
+
+// renew takes the later position of the value that is held. A copied registration waits for LapseLimit from the last return.
+func (e *entry) renew(now time.Time, at modeler.Position) {
+	if !e.copiedAt.IsZero() && at.Epoch > e.acceptedValue.Position.Epoch {
+		e.copiedAt = now
+	}
+	e.acceptedValue.Position = at
+}
+
+// extendHolds holds searchers whose registrations an earlier epoch lacked, and are held for that, from the new epoch on.
+func (s *Store) extendHolds(o *offer) {
+	for _, e := range s.entries {
+		if len(e.acceptedValue.Text) > 0 || e.lastWord == nil || e.lastWord.left {
+			continue
+		}
+		for _, r := range e.heldRegistrations {
+			if o.now.Before(r.UsableUntil) {
+				r.UsableUntil = o.now.Add(s.holdPeriod)
+				e.heldRegistrations = []modeler.Registration{r} // readers may have the slice before
+				o.Replaced++
+			}
+		}
+	}
 }
 
 // usableUntil returns until when a searcher that the next value no longer registers as ready may be sent requests. A
 // registration that a new epoch lacks counts as lapsed: its searcher may write it again.
 func (s *Store) usableUntil(o *offer, next modeler.Configuration) time.Time {
 	deleted := len(next.Registrations) == 0
-	if deleted && (o.newEpoch || o.now.Sub(o.changedSince) >= s.lapsePeriod) {
+	if deleted && (o.inferred || o.now.Sub(o.changedSince) >= s.lapsePeriod) {
 		return o.now.Add(s.holdPeriod)
 	}
 	return o.changedSince.Add(s.holdPeriod)
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -109,16 +109,24 @@
 	if whole && head.Epoch < s.head.Epoch {
 		return o.Result
 	}
-	o.newEpoch = !s.head.IsZero() && head.Epoch > s.head.Epoch
-	if whole || o.newEpoch {
-		values = append(slices.Clip(values), s.missing(head, values)...)
+	newEpoch := !s.head.IsZero() && head.Epoch > s.head.Epoch
+	var missing []Value
+	if whole || newEpoch {
+		missing = s.missing(head, values)
 	}
-	if whole || o.newEpoch || s.head.IsZero() {
+	if whole || newEpoch || s.head.IsZero() {
 		s.raiseCompleteFrom(head)
 	}
 	for _, v := range values {
 		s.acceptOne(o, v)
 	}
+	o.inferred = newEpoch
+	for _, v := range missing {
+		s.acceptOne(o, v)
+	}
+	if newEpoch {
+		s.extendHolds(o)
+	}
 	if s.supersedes(head, s.head) {
 		s.head, o.After = head, head
 	}
@@ -177,7 +185,7 @@
 type offer struct {
 	now          time.Time
 	changedSince time.Time // since when the values may have changed
-	newEpoch     bool      // whether they replace values of an earlier epoch
+	inferred     bool      // whether the values are deletions of what a new epoch lacks, which may only be lost
 	Result
 }
 
@@ -194,8 +202,8 @@
 		o.countUnused(v, held)
 		return
 	}
-	if e.isRenewed(v) {
-		e.acceptedValue.Position = v.Position
+	if later && e.isRenewed(v) {
+		e.renew(o.now, v.Position)
 		return
 	}
 	parsed, err := s.parse(v)
@@ -280,7 +288,8 @@
 }
 
 // Delta returns the head and all values, accepted and refused, of a later position than since, and those in force that the
-// head's epoch lacks. If the store may lack a deletion after since, these are all values.
+// head's epoch lacks. If the store may lack a deletion after since, these are all values; of the deletions it returns those
+// that the receiver can't infer.
 func (s *Store) Delta(since modeler.Position) Delta {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -288,7 +297,8 @@
 	for _, e := range s.entries {
 		v := e.acceptedValue
 		inForce := len(v.Text) > 0
-		if v.Position.After(since) || (inForce && (out.Whole || v.Position.Epoch < s.head.Epoch)) {
+		isNews := v.Position.After(since) && (inForce || v.Position.After(s.completeFrom))
+		if isNews || (inForce && (out.Whole || v.Position.Epoch < s.head.Epoch)) {
 			out.Values = append(out.Values, v)
 		}
 		if v := e.refusedValue; v.Position.After(since) {
--- a/relayer/values_test.go
+++ b/relayer/values_test.go
@@ -16,7 +16,8 @@
 	in := func(epoch, revision int) modeler.Position {
 		return modeler.Position{Epoch: modeler.Epoch(epoch), Revision: modeler.Revision(revision)}
 	}
-	s.Offer(time.Now(), in(2, 9), []configurer.Value{{Key: "a", Position: in(2, 5), Text: []byte("x")}, {Key: "b", Position: in(2, 9), Text: []byte("y")}})
+	s.Offer(time.Now(), in(2, 5), []configurer.Value{{Key: "a", Position: in(2, 5), Text: []byte("x")}})
+	s.Offer(time.Now(), in(2, 9), []configurer.Value{{Key: "b", Position: in(2, 9), Text: []byte("y")}})
 	addr := netip.MustParseAddrPort("127.0.0.1:1")
 	c := &Client{peers: map[netip.AddrPort]messenger.Peer{addr: &Service{Store: s}}}
 	for since, want := range map[modeler.Position]int{in(2, 9): 0, in(2, 8): 1, in(1, 99): 2, {}: 2, in(3, 1): 0} {
