configurer: a late answer of an epoch that is over adds no keys

Lost searchers would be in use for good, and spread to the peers, if a pull or a watch of the earlier epoch is answered after the VM has followed the later one: keys that the later epoch lacks have no position to compare with. Change: a value of an earlier epoch than the head is taken only if it has a version that is higher than the one in force; see the order of configurations. Result: TestKeysOfAnEarlierEpochAreNotAdded failed before, passes now.

--- a/configurer/store.go
+++ b/configurer/store.go
@@ -211,7 +211,8 @@
 		s.refuse(o, e, v, err)
 		return
 	}
-	if !later && parsed.Version <= e.configuration.Version {
+	lost := v.Position.Epoch < s.head.Epoch // only a version that the head's epoch lacks is still in force
+	if (!later || lost) && parsed.Version <= e.configuration.Version {
 		o.countUnused(v, held)
 		return
 	}
