runner: a VM beside many that know no epochs reads the store itself

Cause: it takes neither heads nor confirmations of VMs that name no epoch, and only the first by rank read the store, most of them of the earlier version. Change: a VM that has had a packet without an epoch in the last ten seconds, while it knows one, reads the store once its configuration is unconfirmed for ConfirmLimit. Why it is bounded: only the new VMs do so, while old ones run, one call in three seconds each; a store without the header has no such VMs.

--- a/gossiper/confirm.go
+++ b/gossiper/confirm.go
@@ -23,6 +23,12 @@
 // if there is none.
 func (n *Node) ConfirmedAt() time.Time { return n.confirmedAt }
 
+// BesideEpochless reports whether VMs that know no epochs, whose heads and confirmations say nothing to this VM, have sent
+// packets within EpochlessPeriod.
+func (n *Node) BesideEpochless(now time.Time) bool {
+	return !n.epochless.IsZero() && now.Sub(n.epochless) < EpochlessPeriod
+}
+
 // Confirm records that the configuration that this VM holds was complete at the given time; see Node.Confirm.
 func (g *Gossip) Confirm(at time.Time) {
 	g.Do(func(n *Node, now time.Time, out []Action) []Action { return n.Confirm(now, at, out) })
--- a/gossiper/constants.go
+++ b/gossiper/constants.go
@@ -60,6 +60,8 @@
 	// do so again; it then tells ConfirmFanOut random members.
 	ConfirmStep   = 600 * time.Millisecond
 	ConfirmFanOut = 2
+	// EpochlessPeriod is how long after a packet without an epoch a VM counts VMs that know none as running.
+	EpochlessPeriod = 10 * time.Second
 	// maxConfirmAgeMillis bounds the age that a packet may state.
 	maxConfirmAgeMillis = 3_600_000
 	// macBytes is the length of the truncated authentication code at the end of a datagram.
--- a/gossiper/node.go
+++ b/gossiper/node.go
@@ -88,6 +88,7 @@
 	version      uint64                             // of the configuration in force, the operator's own
 	confirmedAt  time.Time                          // see Confirm
 	toldAt       time.Time                          // confirmedAt when this VM last told members of it
+	epochless    time.Time                          // when a VM last named a head without an epoch, while this VM knew one
 	nextPull     time.Time
 	random       func(n int) int
 	clock        *recorder.Clock
@@ -144,6 +145,9 @@
 	for _, x := range p.News {
 		out = n.mergeNews(now, x, out)
 	}
+	if p.Head.Epoch == 0 && !p.Head.IsZero() && n.head.Epoch > 0 {
+		n.epochless = now
+	}
 	out = n.pullIfBehind(now, p, out)
 	if p.Confirmed && p.Head.Epoch == n.head.Epoch && !p.Head.After(n.head) {
 		out = n.Confirm(now, now.Add(-p.ConfirmAge), out)
--- a/runner/readers.go
+++ b/runner/readers.go
@@ -58,12 +58,13 @@
 
 // isStoreReader reports whether this VM reads the platform's store for the fleet. It does if it ranks among the first
 // of the candidates, of which more read the longer the configuration is unconfirmed; if it receives nothing from other
-// VMs; or if it has no configuration yet.
+// VMs, or its configuration is unconfirmed beside VMs that know no epochs; or if it has no configuration yet.
 func (v *VM) isStoreReader() bool {
 	now := time.Now()
-	isolated, confirmedAt := false, v.startedAt
+	isolated, besideEpochless, confirmedAt := false, false, v.startedAt
 	v.gossip.Inspect(func(n *gossiper.Node) {
 		isolated = n.Isolated(now)
+		besideEpochless = n.BesideEpochless(now)
 		confirmedAt = later(confirmedAt, n.ConfirmedAt())
 	})
 	if isolated || v.store.Head().IsZero() {
@@ -73,6 +74,9 @@
 		return false // not all members are known yet, so too many VMs would rank themselves as readers
 	}
 	unconfirmed := now.Sub(confirmedAt)
+	if besideEpochless && unconfirmed >= configurer.ConfirmLimit {
+		return true // the readers by rank may be among those
+	}
 	candidates := v.storeLosses.storeCandidates(v.membership.Load().members, now, unconfirmed)
 	return configurer.IsStoreReader(v.cfg.Name, candidates, unconfirmed)
 }
