--- a/configurer/strays_test.go
+++ b/configurer/strays_test.go
@@ -152,3 +152,16 @@
 		}
 	}
 }
+
+// Guards against a searcher that counts as gone because one later epoch lacked it, when the next one has it.
+func TestSearcherThatOneEpochLacksHasNotLeft(t *testing.T) {
+	now := time.Now()
+	s := NewStore(WithDecode(decodeEntry), WithHold(time.Minute, time.Hour))
+	ready := []byte("ready 1 5")
+	s.Offer(now, in(1, 9), []Value{{"servers/a", in(1, 9), ready}})
+	s.Replace(now, in(2, 5), nil)
+	s.Replace(now, in(3, 9), []Value{{"servers/a", in(3, 9), ready}})
+	if n, _ := countRegistrations(s); n != 1 {
+		t.Errorf("%d searchers ready, want 1", n)
+	}
+}
