configurer: searchers that a new epoch lacks are held until the store is known to lack them

Cause: the time in which searchers write again was counted whether the store was there or not. Change: the hold is over once the store is known, by the confirmed age, to have lacked the registration for the hold period, LapseLimit (5 s) at most; asked once in each upkeep period. What a return leaves open is settled in one place. A watch of an earlier revision is a failed step too, as a list is.

--- a/configurer/copied.go
+++ b/configurer/copied.go
@@ -32,7 +32,7 @@
 // setLastWord remembers what the accepted registration or its removal says of the searcher. A removal that was inferred from
 // what a new epoch lacks says nothing.
 func (e *entry) setLastWord(o *offer, v Value, parsed modeler.Configuration) {
-	e.copiedAt = time.Time{}
+	e.copiedAt, e.missingSince = time.Time{}, time.Time{}
 	if len(parsed.Registrations) > 0 {
 		r := parsed.Registrations[0]
 		e.lastWord = &lastWord{v.Position.Epoch, r.Searcher.StartedAt, r.Sequence, r.Leaving}
--- a/configurer/registration.go
+++ b/configurer/registration.go
@@ -18,6 +18,7 @@
 	heldRegistrations []modeler.Registration
 	deletedAt         time.Time // zero unless acceptedValue deleted the key
 	lastWord          *lastWord // nil if no registration was accepted
+	missingSince      time.Time // when a new epoch lacked the registration that is held, or zero; see HoldMissing
 	copiedAt          time.Time // when a copied registration came that is not in force, or zero; see takeCopied
 }
 
@@ -46,22 +47,6 @@
 	e.acceptedValue.Position = at
 }
 
-// extendHolds holds searchers whose registrations an earlier epoch lacked, and are held for that, from the new epoch on.
-func (s *Store) extendHolds(o *offer) {
-	for _, e := range s.entries {
-		if len(e.acceptedValue.Text) > 0 || e.lastWord == nil || e.lastWord.left {
-			continue
-		}
-		for _, r := range e.heldRegistrations {
-			if o.now.Before(r.UsableUntil) {
-				r.UsableUntil = o.now.Add(s.holdPeriod)
-				e.heldRegistrations = []modeler.Registration{r} // readers may have the slice before
-				o.Replaced++
-			}
-		}
-	}
-}
-
 // usableUntil returns until when a searcher that the next value no longer registers as ready may be sent requests. A
 // registration that a new epoch lacks counts as lapsed: its searcher may write it again.
 func (s *Store) usableUntil(o *offer, next modeler.Configuration) time.Time {
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -125,7 +125,7 @@
 		s.acceptOne(o, v)
 	}
 	if newEpoch {
-		s.extendHolds(o)
+		s.setMissing(o)
 	}
 	if s.supersedes(head, s.head) {
 		s.head, o.After = head, head
@@ -142,31 +142,6 @@
 	}
 }
 
-// missing returns the deletions of the keys that the store holds and that are not among all values at the position.
-func (s *Store) missing(at modeler.Position, values []Value) []Value {
-	listed := make(map[string]bool, len(values))
-	for _, v := range values {
-		listed[v.Key] = true
-	}
-	var out []Value
-	for k, e := range s.entries {
-		held := e.acceptedValue.Position
-		// An entry without an accepted position has only had a refused value; the key is deleted as well.
-		if listed[k] || held.After(at) || (len(e.acceptedValue.Text) == 0 && !held.IsZero()) {
-			continue
-		}
-		if held.Epoch < at.Epoch && e.configuration.Version > 0 {
-			continue // the platform has lost it, and its operator writes it again
-		}
-		deleted := at
-		if deleted == held {
-			deleted.Revision++ // the platform deleted the key after the first page of its list
-		}
-		out = append(out, Value{Key: k, Position: deleted})
-	}
-	return out
-}
-
 // Prune removes the keys that were deleted before the given time.
 // Peers that pull from this VM from before these deletions receive all values.
 func (s *Store) Prune(before time.Time) {
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -192,6 +192,7 @@
 		case <-ticker.C:
 			v.refreshShares(&phase)
 			v.trim()
+			v.settleRegistrations(time.Now())
 			v.intake.CloseOverdue(time.Now(), v.callerTimeouts())
 			v.warm(ctx)
 			v.reportOverload()
@@ -245,10 +246,6 @@
 		keep[view.Searchers[i].Address] = true
 	}
 	v.store.Prune(time.Now().Add(-DeletedKeyRetention))
-	if res := v.store.ReleaseCopied(time.Now()); res.Changed() {
-		klog.InfoS("configuration: registrations of an older copy are in use again", "count", res.Replaced)
-		v.applyRead(res)
-	}
 	v.dialer.Trim(keep)
 	for a := range keep {
 		if !slices.ContainsFunc(view.SearchersAt(a), func(n int32) bool { return v.isHolder(view, n) }) {
@@ -263,6 +260,17 @@
 	v.scatterer.Shedder.Keep(known)
 }
 
+// settleRegistrations decides on the registrations that the last return of the store from an older copy left open.
+func (v *VM) settleRegistrations(now time.Time) {
+	if res := v.store.ReleaseCopied(now); res.Changed() {
+		klog.InfoS("configuration: registrations of an older copy are in use again", "count", res.Replaced)
+		v.applyRead(res)
+	}
+	if res := v.store.HoldMissing(now, UpkeepPeriod); res.Changed() {
+		v.applyRead(res)
+	}
+}
+
 func (v *VM) serveReady(ctx context.Context) error {
 	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch {
--- a/watcher/follower.go
+++ b/watcher/follower.go
@@ -110,8 +110,9 @@
 	case lost || p.Position.Epoch > f.cursor.Epoch:
 		f.historyLost++
 		return f.list(ctx, p.Position)
-	case p.Position.Epoch < f.cursor.Epoch:
-		return errEarlierEpoch
+	}
+	if err := checkNotEarlier(p.Position, f.cursor); err != nil {
+		return err
 	}
 	f.watchedAt, f.historyLost = time.Now(), 0
 	if p.Position.After(f.cursor) {
