configurer, soaker, platform: files by concept; a whole delta has the refused values

The platform's key of the configuration has a name in the stand-in. A whole delta lacked values refused before; the receiver counted their keys as deleted and showed no refusal: TestWholeDeltaHasTheRefusedValues failed before (0, want 1).

--- a/configurer/epoch_test.go
+++ b/configurer/epoch_test.go
@@ -188,3 +188,17 @@
 		}
 	}
 }
+
+// Guards against a refusal that operators no longer see because a whole delta lacks the value that was refused.
+func TestWholeDeltaHasTheRefusedValues(t *testing.T) {
+	broken := Value{"a", at(2), []byte("{")}
+	s, away := NewStore(), NewStore()
+	for _, x := range []*Store{s, away} {
+		x.Offer(now, at(3), []Value{broken, value("b", 3, "b")})
+	}
+	s.Replace(now, at(5), []Value{broken, value("b", 3, "b")})
+	away.Apply(now, s.Delta(away.Head()))
+	if n := len(away.State().Refused); n != 1 {
+		t.Errorf("%d refusals after a whole delta, want the one of before", n)
+	}
+}
--- a/configurer/store.go
+++ b/configurer/store.go
@@ -3,15 +3,12 @@
 import (
 	"encoding/binary"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"github.com/pistachiogap/pistachiogap/modeler"
-	"github.com/pistachiogap/pistachiogap/parser"
 )
 
 // MaxValueBytes is the largest accepted size of one value.
@@ -84,58 +81,6 @@
 	return s
 }
 
-// Offer accepts or refuses values. Together with the values already in the store they must cover every change up to the
-// head. If the head is of a later epoch than the store's, they must be all values of that epoch, and replace those held as
-// Replace does. Between epochs, a value that has a version is replaced by none of a lower version.
-func (s *Store) Offer(now time.Time, head modeler.Position, values []Value) Result {
-	return s.accept(now, head, values, false)
-}
-
-// Replace offers all values that the platform had at a position. It deletes each key that is not among them, unless the
-// key was changed after that position. It does nothing if the store holds values of a later epoch.
-func (s *Store) Replace(now time.Time, at modeler.Position, values []Value) Result {
-	return s.accept(now, at, values, true)
-}
-
-// accept offers values; whole says that they are all values at the head.
-func (s *Store) accept(now time.Time, head modeler.Position, values []Value, whole bool) Result {
-	o := &offer{now: now, changedSince: s.confirmedAt()}
-	if o.changedSince.IsZero() || o.changedSince.After(now) {
-		o.changedSince = now
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o.Before, o.After = s.head, s.head
-	if whole && head.Epoch < s.head.Epoch {
-		return o.Result
-	}
-	newEpoch := !s.head.IsZero() && head.Epoch > s.head.Epoch
-	var missing []Value
-	if whole || newEpoch {
-		missing = s.missing(head, values)
-	}
-	if whole || newEpoch || s.head.IsZero() {
-		s.raiseCompleteFrom(head)
-	}
-	for _, v := range values {
-		s.acceptOne(o, v)
-	}
-	o.inferred = newEpoch
-	for _, v := range missing {
-		s.acceptOne(o, v)
-	}
-	if newEpoch {
-		s.setMissing(o)
-	}
-	if s.supersedes(head, s.head) {
-		s.head, o.After = head, head
-	}
-	if o.Changed() {
-		s.changedAt = now
-	}
-	return o.Result
-}
-
 func (s *Store) raiseCompleteFrom(at modeler.Position) {
 	if at.After(s.completeFrom) {
 		s.completeFrom = at
@@ -156,99 +101,6 @@
 	}
 }
 
-// offer is a set of values on their way into the store.
-type offer struct {
-	now          time.Time
-	changedSince time.Time // since when the values may have changed
-	inferred     bool      // whether the values are deletions of what a new epoch lacks, which may only be lost
-	Result
-}
-
-// acceptOne accepts or refuses one value, and counts it in o. The caller holds the lock.
-func (s *Store) acceptOne(o *offer, v Value) {
-	e := s.entries[v.Key]
-	if e == nil {
-		e = &entry{}
-		s.entries[v.Key] = e
-	}
-	held := e.acceptedValue.Position
-	later := s.supersedes(v.Position, held)
-	if v.Position == e.refusedValue.Position || (!later && v.Position.Epoch == held.Epoch) {
-		o.countUnused(v, held)
-		return
-	}
-	if later && e.isRenewed(v) {
-		e.renew(o.now, v.Position)
-		return
-	}
-	parsed, err := s.parse(v)
-	if err != nil {
-		s.refuse(o, e, v, err)
-		return
-	}
-	lost := v.Position.Epoch < s.head.Epoch // only a version that the head's epoch lacks is still in force
-	if (!later || lost) && parsed.Version <= e.configuration.Version {
-		o.countUnused(v, held)
-		return
-	}
-	if v.Position.Epoch > held.Epoch && parsed.Version < e.configuration.Version {
-		s.refuse(o, e, v, errors.Errorf("version %d is lower than %d, which an earlier epoch had", parsed.Version, e.configuration.Version))
-		return
-	}
-	if e.isCopied(v, parsed) {
-		s.takeCopied(o, e, v, parsed)
-		return
-	}
-	e.setLastWord(o, v, parsed)
-	s.put(o, e, v, parsed)
-}
-
-// put replaces the accepted value. The caller holds the lock.
-func (s *Store) put(o *offer, e *entry, v Value, parsed modeler.Configuration) {
-	o.countAccepted(len(e.acceptedValue.Text) > 0, len(v.Text) > 0)
-	e.holdRegistration(o.now, parsed, s.usableUntil(o, parsed))
-	e.acceptedValue, e.configuration = v, parsed
-	e.deletedAt = time.Time{}
-	if len(v.Text) == 0 {
-		e.deletedAt = o.now
-	}
-	if parsed.Ignored != "" {
-		o.addRefusal(v, shorten(parsed.Ignored))
-	}
-}
-
-// refuse records that a value failed the check, unless a later one did.
-func (s *Store) refuse(o *offer, e *entry, v Value, err error) {
-	if e.refusedValue.Position.After(v.Position) {
-		return
-	}
-	e.refusedValue, e.refusalReason = v, shorten(err.Error())
-	o.addRefusal(v, e.refusalReason)
-}
-
-// shorten returns the reason of a refusal without what exceeds maxReasonBytes: it may quote a long value.
-func shorten(reason string) string {
-	if len(reason) <= maxReasonBytes {
-		return reason
-	}
-	return strings.ToValidUTF8(reason[:maxReasonBytes], "") + "..."
-}
-
-func (s *Store) parse(v Value) (modeler.Configuration, error) {
-	if len(v.Text) == 0 {
-		return modeler.Configuration{}, nil
-	}
-	if len(v.Text) > MaxValueBytes {
-		return modeler.Configuration{}, parser.Faults{{File: v.Key, Line: 1, Column: 1, Reason: "is larger than a megabyte"}}
-	}
-	return s.decode(v.Key, v.Text)
-}
-
-// decodeNative decodes the tier's own format.
-func decodeNative(key string, text []byte) (modeler.Configuration, error) {
-	return parser.Decode[modeler.Configuration](key, text)
-}
-
 // Head returns the position up to which the store has every change.
 func (s *Store) Head() modeler.Position {
 	s.mu.Lock()
@@ -256,40 +108,6 @@
 	return s.head
 }
 
-// Delta is what a Store has after a position.
-type Delta struct {
-	Head   modeler.Position
-	Values []Value
-	Whole  bool // whether Values are all that the Store has
-}
-
-// Delta returns the head and all values, accepted and refused, of a later position than since, and those in force that the
-// head's epoch lacks. If the store may lack a deletion after since, these are all values; of the deletions it returns those
-// that the receiver can't infer.
-func (s *Store) Delta(since modeler.Position) Delta {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := Delta{Head: s.head, Whole: s.completeFrom.After(since)}
-	for _, e := range s.entries {
-		v := e.acceptedValue
-		inForce := len(v.Text) > 0
-		isNews := v.Position.After(since) && (inForce || v.Position.After(s.completeFrom))
-		if isNews || (inForce && (out.Whole || v.Position.Epoch < s.head.Epoch)) {
-			out.Values = append(out.Values, v)
-		}
-		if v := e.refusedValue; v.Position.After(since) {
-			out.Values = append(out.Values, v)
-		}
-	}
-	slices.SortFunc(out.Values, func(a, b Value) int { return a.Position.Compare(b.Position) })
-	return out
-}
-
-// Apply accepts or refuses the values that another Store has after the head of this one; see Offer and Replace.
-func (s *Store) Apply(now time.Time, d Delta) Result {
-	return s.accept(now, d.Head, d.Values, d.Whole)
-}
-
 // InForce returns the head and the configurations in force, sorted by key.
 func (s *Store) InForce() (modeler.Position, []modeler.Configuration) {
 	s.mu.Lock()
--- a/soaker/epoch_test.go
+++ b/soaker/epoch_test.go
@@ -3,13 +3,10 @@
 import (
 	"cmp"
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
-	"syscall"
 	"testing"
 	"time"
 
@@ -35,53 +32,6 @@
 // callersRoutes are the routes of the configurations, each with the method of its requests.
 var callersRoutes = map[string]string{"sweep": http.MethodGet, "lookup": http.MethodGet, "book": http.MethodPost}
 
-// observation is what a caller saw of one request.
-type observation struct {
-	vm         *vm
-	startCount int // of the VM's starts when the request was sent; -1 if it started again before the answer
-	route      string
-	id         string
-	sent, done time.Time
-	status     int    // 0 without an answer
-	service    string // of the searcher that answered, except on the route sweep
-	err        error
-}
-
-// acknowledged is a configuration that the store has acknowledged.
-type acknowledged struct {
-	lookup  string // service of the route lookup
-	omitted string // route that is left out, if any
-	at      time.Time
-}
-
-// allows reports whether a VM may answer the request so with the configuration in force.
-func (c *acknowledged) allows(o *observation) bool {
-	switch o.status {
-	case http.StatusNotFound:
-		return o.route == c.omitted
-	case http.StatusOK:
-		return o.route != c.omitted && (o.route != "lookup" || o.service == c.lookup)
-	}
-	return true
-}
-
-// restart is the time from the signal that ends a VM's process to the readiness of the next.
-type restart struct{ from, to time.Time }
-
-// returnTest is a deployment whose store comes back from an older copy, and what its callers saw.
-type returnTest struct {
-	*deployment
-	rnd            *rand.Rand
-	copiedAt       time.Time
-	configurations []acknowledged
-	rewrites       sync.WaitGroup
-
-	seenMu     sync.Mutex // guards what follows
-	seen       []observation
-	startCount map[*vm]int
-	restarts   map[*vm][]restart
-}
-
 // Each case names the failure that it guards against.
 func TestStoreReturnsFromAnOlderCopy(t *testing.T) {
 	tests := []struct {
@@ -160,221 +110,6 @@
 	}
 }
 
-// runCaller sends requests for one route to one VM, over one kept connection, until the context ends.
-func (r *returnTest) runCaller(ctx context.Context, v *vm, route string) {
-	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 4 * time.Second}
-	defer c.CloseIdleConnections()
-	for n := 0; ctx.Err() == nil; n++ {
-		r.observe(ctx, c, v, route, fmt.Sprintf("%s-%s-%d", v.name, route, n))
-		r.wait(requestPause)
-	}
-}
-
-// observe sends one request, checks its answer and records it. A request that the end of the context breaks is not
-// recorded.
-func (r *returnTest) observe(ctx context.Context, c *http.Client, v *vm, route, id string) {
-	o := observation{vm: v, startCount: r.startsOf(v), route: route, id: id, sent: time.Now()}
-	path := "/" + route + "/" + id
-	a, err := imitator.Ask(ctx, c, v.callersAddr, callersRoutes[route], callersHost, path, "", id, deadlineMS)
-	if err != nil && ctx.Err() != nil {
-		return
-	}
-	o.done, o.err, o.status = time.Now(), err, a.Status
-	if err == nil {
-		r.checkAnswer(v, id, path, &a, o.sent, o.done.Sub(o.sent), false)
-	}
-	if a.Status == http.StatusOK && route != "sweep" && len(a.Stamps) > 0 {
-		o.service, _, _ = strings.Cut(a.Stamps[0], "/")
-	}
-	if r.startsOf(v) != o.startCount {
-		o.startCount = -1
-	}
-	r.seenMu.Lock()
-	defer r.seenMu.Unlock()
-	r.seen = append(r.seen, o)
-}
-
-func (r *returnTest) startsOf(v *vm) int {
-	r.seenMu.Lock()
-	defer r.seenMu.Unlock()
-	return r.startCount[v]
-}
-
-// publish writes the next configuration and records its acknowledgement.
-func (r *returnTest) publish(lookup, omitted string) {
-	r.withChangeLock(func() {
-		r.omittedRoute = omitted
-		r.deployment.publish(lookup, 0)
-	})
-	r.configurations = append(r.configurations, acknowledged{lookup, omitted, time.Now()})
-}
-
-// awaitInForce waits until each VM has answered as the newest configuration alone allows, or until it is so late that
-// checkInForce finds that they don't.
-func (r *returnTest) awaitInForce() {
-	newest := r.configurations[len(r.configurations)-1]
-	due := newest.at
-	for _, all := range r.restarts {
-		for _, x := range all {
-			due = later(due, x.to)
-		}
-	}
-	for end := due.Add(applyWithin + seenFor); time.Now().Before(end); r.wait(20 * time.Millisecond) {
-		current := map[*vm]bool{}
-		r.seenMu.Lock()
-		for _, o := range r.seen {
-			if o.startCount == r.startCount[o.vm] && o.status == http.StatusOK && o.route == "lookup" && o.service == newest.lookup {
-				current[o.vm] = true
-			}
-		}
-		r.seenMu.Unlock()
-		if len(current) == len(r.vms) {
-			return
-		}
-	}
-}
-
-// writeEntries writes the entries of all searchers again, some times each.
-func (r *returnTest) writeEntries(times int) {
-	r.withChangeLock(func() { r.deployment.writeEntries(times) })
-}
-
-// rewriteLater writes again what the store lost, in random order within rewriteWithin, except the given keys.
-func (r *returnTest) rewriteLater(lost []string, except ...string) {
-	keys := slices.DeleteFunc(slices.Clone(lost), func(k string) bool { return slices.Contains(except, k) })
-	rnd := rand.New(rand.NewPCG(r.rnd.Uint64(), 0))
-	r.rewrites.Go(func() {
-		r.rewriteAll(keys, rnd, func(key string) { r.withChangeLock(func() { r.rewrite(key) }) })
-	})
-}
-
-// rewriteAfter writes the keys again after a time.
-func (r *returnTest) rewriteAfter(after time.Duration, keys ...string) {
-	r.rewrites.Go(func() {
-		r.wait(after)
-		for _, k := range keys {
-			r.withChangeLock(func() { r.rewrite(k) })
-		}
-	})
-}
-
-// killAndStart kills the process of a VM, starts the next, and waits until it is ready.
-func (r *returnTest) killAndStart(v *vm) {
-	from := time.Now()
-	<-v.signal(syscall.SIGKILL)
-	r.startAgain(v, from)
-}
-
-// stopAndStart stops the process of a VM with SIGTERM, starts the next, and waits until it is ready.
-func (r *returnTest) stopAndStart(v *vm) {
-	from := time.Now()
-	r.awaitExit(v, v.signal(syscall.SIGTERM))
-	r.startAgain(v, from)
-}
-
-func (r *returnTest) startAgain(v *vm, from time.Time) {
-	r.seenMu.Lock()
-	r.startCount[v]++
-	r.seenMu.Unlock()
-	r.start(v)
-	r.waitReady()
-	r.seenMu.Lock()
-	defer r.seenMu.Unlock()
-	r.restarts[v] = append(r.restarts[v], restart{from, time.Now()})
-}
-
-// awayFor takes the store away for the time and returns it from the copy. It returns the keys whose changes were lost.
-func (r *returnTest) awayFor(away time.Duration) (lost []string) {
-	r.stopStore()
-	r.wait(away)
-	return r.returnStore(r.copiedAt)
-}
-
-// checkServed checks that no request was refused or left without an answer, except at a VM that was restarted, which it
-// may refuse from the signal until it is ready.
-func (r *returnTest) checkServed() {
-	for i := range r.seen {
-		o := &r.seen[i]
-		if o.status == http.StatusOK || o.status == http.StatusNotFound || r.restarting(o) {
-			continue
-		}
-		r.history.addViolation("not served: %s /%s/%s: status %d, error %v, %s after the copy", o.vm.name, o.route, o.id, o.status, o.err, o.done.Sub(r.copiedAt))
-	}
-}
-
-// restarting reports whether a restart of the VM was going on during the request.
-func (r *returnTest) restarting(o *observation) bool {
-	return slices.ContainsFunc(r.restarts[o.vm], func(x restart) bool { return o.done.After(x.from) && o.sent.Before(x.to) })
-}
-
-// checkInForce checks that each answer is one that the newest configuration allows which was acknowledged applyWithin
-// before the request, or a later one. A VM that was restarted since has as long from its readiness on.
-func (r *returnTest) checkInForce() {
-	for i := range r.seen {
-		o := &r.seen[i]
-		known := o.sent.Add(-applyWithin)
-		if slices.ContainsFunc(r.restarts[o.vm], func(x restart) bool { return x.from.Before(o.sent) && x.to.After(known) }) {
-			known = time.Time{}
-		}
-		oldest := 0
-		for n, c := range r.configurations {
-			if !c.at.After(known) {
-				oldest = n
-			}
-		}
-		if !slices.ContainsFunc(r.configurations[oldest:], func(c acknowledged) bool { return c.allows(o) }) {
-			r.history.addViolation("not in force: %s /%s/%s: status %d of service %q, %s after the copy; the configuration %d was acknowledged %s after it",
-				o.vm.name, o.route, o.id, o.status, o.service, o.sent.Sub(r.copiedAt), oldest, r.configurations[oldest].at.Sub(r.copiedAt))
-		}
-	}
-}
-
-// checkOrder checks that no process answers as only an older configuration allows, once it has answered as only a newer
-// one allows.
-func (r *returnTest) checkOrder() {
-	for i := range r.seen {
-		o := &r.seen[i]
-		if o.startCount < 0 {
-			continue
-		}
-		last := r.lastAllowing(o)
-		for j := range r.seen {
-			p := &r.seen[j]
-			if p.vm == o.vm && p.startCount == o.startCount && p.done.Before(o.sent) && r.firstAllowing(p) > last {
-				r.history.addViolation("went back: %s /%s/%s: status %d of service %q, %s after the copy, but /%s/%s had status %d of service %q",
-					o.vm.name, o.route, o.id, o.status, o.service, o.sent.Sub(r.copiedAt), p.route, p.id, p.status, p.service)
-				break
-			}
-		}
-	}
-}
-
-// firstAllowing returns the position of the first configuration that allows the answer, and 0 if none does.
-func (r *returnTest) firstAllowing(o *observation) int {
-	return max(0, slices.IndexFunc(r.configurations, func(c acknowledged) bool { return c.allows(o) }))
-}
-
-// lastAllowing returns the position of the last configuration that allows the answer.
-func (r *returnTest) lastAllowing(o *observation) int {
-	for n := len(r.configurations) - 1; n > 0; n-- {
-		if r.configurations[n].allows(o) {
-			return n
-		}
-	}
-	return 0
-}
-
-// checkLeft checks that no request reaches the searchers later than drainWithin after they left.
-func (r *returnTest) checkLeft(leaving []*replica, left time.Time) {
-	for _, x := range leaving {
-		for _, run := range x.Runs() {
-			if since := run.At.Sub(left); since > drainWithin {
-				r.history.addViolation("sent to searcher %s that left: %s from %s, %s after it left, %s after the copy", x.ID, run.ID, run.From, since, run.At.Sub(r.copiedAt))
-			}
-		}
-	}
-}
-
 // routeChange varies changeRoutes.
 type routeChange struct {
 	away         time.Duration // awayTime if it is 0
@@ -441,9 +176,9 @@
 	if c.afterReturn != nil {
 		restarted.Go(c.afterReturn)
 	}
-	r.rewriteLater(lost, "op/config")
+	r.rewriteLater(lost, imitator.ConfigurationKey)
 	r.wait(max(c.rewriteAfter, 400*time.Millisecond))
-	r.withChangeLock(func() { r.rewrite("op/config") })
+	r.withChangeLock(func() { r.rewrite(imitator.ConfigurationKey) })
 	r.wait(operatorPause)
 	r.publish("old-1", "book")
 }
@@ -452,7 +187,7 @@
 // has an answer. The configurations are written first, at revisions below that one.
 func (r *returnTest) returnOvertaken() {
 	r.store.ReturnFrom(r.copiedAt, "2")
-	r.withChangeLock(func() { r.rewrite("op/config") })
+	r.withChangeLock(func() { r.rewrite(imitator.ConfigurationKey) })
 	r.publish("old-1", "book")
 	r.writeEntries(4)
 	r.store.SetRefusing(0)
@@ -554,7 +289,7 @@
 	r.awaitInForce()
 	r.wait(time.Until(r.copiedAt.Add(lostTime)))
 	lost := r.awayFor(awayTime)
-	except = append(except, "op/config")
+	except = append(except, imitator.ConfigurationKey)
 	r.rewriteLater(lost, except...)
 	r.rewriteAfter(rewriteAfter, except...)
 	r.wait(applyWithin)
--- a/soaker/returns_test.go
+++ b/soaker/returns_test.go
@@ -4,6 +4,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/pistachiogap/pistachiogap/platform/imitator"
 )
 
 // returnsSeed is the seed of the first deployment of TestStoreReturnsTwiceOrToAFrozenVM.
@@ -67,7 +69,7 @@
 	r.awayFor(awayTime)
 	r.wait(lostTime)
 	lost := r.awayFor(awayTime / 2)
-	keys = append(keys, "op/config")
+	keys = append(keys, imitator.ConfigurationKey)
 	r.rewriteLater(lost, keys...)
 	r.rewriteAfter(rewriteAfter, keys...)
 	r.wait(applyWithin)
--- a/soaker/world_test.go
+++ b/soaker/world_test.go
@@ -171,7 +171,7 @@
 
 // rewrite writes again what the writer of the key wrote last: the configuration, or the entry of a searcher or its removal.
 func (d *deployment) rewrite(key string) {
-	if key == "op/config" {
+	if key == imitator.ConfigurationKey {
 		d.store.Publish(d.published)
 		return
 	}
