configurer: what becomes of an offered value is one switch

acceptOne decided in seven early returns; the cases stand in two switches now, before and after the value is parsed, and the entry is found in a function of its own. The message and comment of two lines of the log and of applyOffer say what they do. No behaviour is changed.

--- a/configurer/offer.go
+++ b/configurer/offer.go
@@ -77,18 +77,14 @@
 
 // acceptOne accepts or refuses one value, and counts it in o. The caller holds the lock.
 func (s *Store) acceptOne(o *offer, v Value) {
-	e := s.entries[v.Key]
-	if e == nil {
-		e = &entry{}
-		s.entries[v.Key] = e
-	}
+	e := s.entryOf(v.Key)
 	held := e.acceptedValue.Position
 	later := s.supersedes(v.Position, held)
-	if v.Position == e.refusedValue.Position || (!later && v.Position.Epoch == held.Epoch) {
+	switch {
+	case v.Position == e.refusedValue.Position, !later && v.Position.Epoch == held.Epoch:
 		o.countUnused(v, held)
 		return
-	}
-	if later && e.isRenewed(v) {
+	case later && e.isRenewed(v):
 		e.renew(o.now, v.Position)
 		return
 	}
@@ -97,21 +93,28 @@
 		s.refuse(o, e, v, err)
 		return
 	}
-	lost := v.Position.Epoch < s.head.Epoch // only a version that the head's epoch lacks is still in force
-	if (!later || lost) && parsed.Version <= e.configuration.Version {
+	isOver := !later || v.Position.Epoch < s.head.Epoch
+	switch {
+	case isOver && parsed.Version <= e.configuration.Version:
 		o.countUnused(v, held)
-		return
-	}
-	if v.Position.Epoch > held.Epoch && parsed.Version < e.configuration.Version {
+	case v.Position.Epoch > held.Epoch && parsed.Version < e.configuration.Version:
 		s.refuse(o, e, v, errors.Errorf("version %d is lower than %d, which an earlier epoch had", parsed.Version, e.configuration.Version))
-		return
-	}
-	if e.isCopied(v, parsed) {
+	case e.isCopied(v, parsed):
 		s.takeCopied(o, e, v, parsed)
-		return
+	default:
+		e.setLastWord(o, v, parsed)
+		s.put(o, e, v, parsed)
+	}
+}
+
+// entryOf returns the entry of the key, and creates it if needed.
+func (s *Store) entryOf(key string) *entry {
+	e := s.entries[key]
+	if e == nil {
+		e = &entry{}
+		s.entries[key] = e
 	}
-	e.setLastWord(o, v, parsed)
-	s.put(o, e, v, parsed)
+	return e
 }
 
 // put replaces the accepted value. The caller holds the lock.
--- a/runner/configuration.go
+++ b/runner/configuration.go
@@ -64,7 +64,7 @@
 func (v *VM) applyRead(res configurer.Result) { v.applyOffer(res, sourcePlatform) }
 
 // applyOffer takes the result of configurer.Store.Offer. It logs the refusals, puts a changed configuration in force,
-// and announces the revision to the other VMs. The source is the address of the VM that had the values, or sourcePlatform.
+// and announces its position and version to the other VMs. The source is the address of the VM that had the values, or sourcePlatform.
 func (v *VM) applyOffer(res configurer.Result, source string) {
 	for _, r := range res.Refused {
 		klog.Warningf("configuration: refused key %s at epoch %d, revision %d: %s", r.Key, r.Epoch, r.Revision, r.Reason)
--- a/runner/routing.go
+++ b/runner/routing.go
@@ -263,7 +263,7 @@
 // settleRegistrations decides on the registrations that the last return of the store from an older copy left open.
 func (v *VM) settleRegistrations(now time.Time) {
 	if res := v.store.ReleaseCopied(now); res.Changed() {
-		klog.InfoS("configuration: registrations of an older copy are in use again", "count", res.Replaced)
+		klog.InfoS("configuration: registrations of an older copy are in force", "count", res.Replaced)
 		v.applyRead(res)
 	}
 	if res := v.store.HoldMissing(now, UpkeepPeriod); res.Changed() {
