review: case 7, an answer over shards holds one shard twice

Cause: as in case 6, the attempts of a query to all shards share one id and, where an address has gone from a searcher of one shard to one of another, one connection. A late second copy of the one shard's answer is taken as the answer of the other.

Case: review/7 plays queries over six shards while addresses of searchers that crash go to searchers of the next shard.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -36,6 +36,7 @@
 // cases holds the cases by name. A case returns the breaches of its rule.
 var cases = map[string]func(*play) (breaches []string, err error){
 	"misdirected": playMisdirected,
+	"parts":       playParts,
 }
 
 func main() {
