review: case 8, a popular request is refused after one crash of its service

Cause: a request that was lost with a searcher which refuses connections is held to have crashed it. Two equal requests of two callers, under way when a service's searchers crash, count as two crashes, and the request is quarantined on all VMs for ten minutes.

Case: review/8 plays a document that many callers ask for on a route that was added, and one crash of the searchers of its service for 4.5 s.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(*play) (breaches []string, err error){
 	"misdirected": playMisdirected,
 	"parts":       playParts,
+	"popular":     playPopular,
 }
 
 func main() {
