--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -38,6 +38,7 @@
 	"misdirected": playMisdirected,
 	"parts":       playParts,
 	"popular":     playPopular,
+	"spoilt":      playSpoilt,
 }
 
 func main() {
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -20,6 +20,8 @@
 	status  int
 	header  string // further lines, each with its line end
 	body    string
+	chunked bool // the body is sent in chunks
+	spoilt  bool // the status line names HTTP/1.0
 }
 
 // searcher is a stand-in for one searcher process at a fixed address. It serves one request at a time on a connection.
@@ -34,6 +36,10 @@
 	body    func(stamp string) string // of an answer
 	// pauseEvery and pauseFor say how often and how long the searcher pauses; it pauses at its own times.
 	pauseEvery, pauseFor time.Duration
+	// chunked makes the searcher send its answers in chunks.
+	chunked bool
+	// spoils reports whether the status line of an answer is spoilt: it names HTTP/1.0. nil is never.
+	spoils func() bool
 	// repeats reports whether a late second copy of the last reply on a connection comes where that to the next request is
 	// due; nil is never.
 	repeats func(last *reply, next *http.Request) bool
@@ -141,7 +147,10 @@
 		if _, err := c.Write(a.bytes()); err != nil {
 			return
 		}
-		x.rec.add("searcher-answer", "searcher=%s request=%s status=%d conn=%s", id, a.attempt, a.status, c.RemoteAddr())
+		x.rec.add("searcher-answer", "searcher=%s request=%s status=%d conn=%s spoilt=%t", id, a.attempt, a.status, c.RemoteAddr(), a.spoilt)
+		if a.spoilt {
+			return // a searcher of HTTP/1.0 closes the connection
+		}
 		last = &a
 	}
 }
@@ -166,7 +175,10 @@
 	time.Sleep(x.workNow())
 	x.pause()
 	st := stamp(x.service, id, attempt)
-	return reply{attempt: attempt, status: http.StatusOK, header: "X-Server-Stamp: " + st + "\r\n", body: x.body(st)}
+	return reply{
+		attempt: attempt, status: http.StatusOK, header: "X-Server-Stamp: " + st + "\r\n", body: x.body(st),
+		chunked: x.chunked, spoilt: x.spoils != nil && x.spoils(),
+	}
 }
 
 // enter takes a place among the requests that wait or run, and reports whether there was one.
@@ -215,7 +227,14 @@
 func textOf(stamp string) string { return "answer " + stamp + "\n" }
 
 func (a *reply) bytes() []byte {
+	version, framing, body := "HTTP/1.1", fmt.Sprintf("Content-Length: %d", len(a.body)), a.body
+	if a.spoilt {
+		version = "HTTP/1.0"
+	}
+	if a.chunked {
+		framing, body = "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(a.body), a.body)
+	}
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\nX-Attempt-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", a.status, http.StatusText(a.status), a.attempt, a.header, len(a.body), a.body)
+	fmt.Fprintf(&b, "%s %d %s\r\nX-Attempt-Id: %s\r\n%s%s\r\n\r\n%s", version, a.status, http.StatusText(a.status), a.attempt, a.header, framing, body)
 	return b.Bytes()
 }
