--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,6 +23,9 @@
 	notRun = 2
 )
 
+// shownBreaches bounds the breaches that are printed; the record has all.
+const shownBreaches = 3
+
 // play is one play of a case.
 type play struct {
 	rec     *record
@@ -80,11 +83,14 @@
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
 	}
-	for _, b := range breaches {
+	for i, b := range breaches {
 		rec.add("BROKEN", "%s", b)
-		fmt.Println("BROKEN:", b)
+		if i < shownBreaches {
+			fmt.Println("BROKEN:", b)
+		}
 	}
 	if len(breaches) > 0 {
+		fmt.Println("broken", len(breaches), "times; all are in", recordPath)
 		return broken
 	}
 	rec.add("held", "")
--- a/review/stand-2/popular.go
+++ b/review/stand-2/popular.go
@@ -16,6 +16,8 @@
 	popularDown    = 4500 * time.Millisecond // for_s of "srv_crash", how = "all"
 	beforeSteady   = 10 * time.Second        // more than stability_window_ms after the searchers are back
 	steadyPeriod   = 60 * time.Second
+	popularCallers = 10 // of each VM
+	otherCallers   = 4
 	leastOnAdded   = 20   // requests on added routes for the rule to apply
 	leastShare     = 0.25 // of the share of the first routes
 	lookupDeadline = 5 * time.Second
@@ -67,7 +69,7 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, v := range p.vms {
-		for k := range 2 * 4 {
+		for k := range popularCallers + otherCallers {
 			wg.Go(func() {
 				c := &client{rec: p.rec, address: v.callers}
 				defer c.close()
@@ -78,7 +80,7 @@
 					case <-time.After(rand.N(maxThink)):
 					}
 					path, counter := "/notice/today", &onAdded
-					if k%2 == 0 {
+					if k >= popularCallers {
 						path, counter = "/archive/"+nextID(), &onFirst
 					}
 					a := c.ask(http.MethodGet, desk, path, "", lookupDeadline)
--- a/review/stand-2/searcher.go
+++ b/review/stand-2/searcher.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -56,11 +57,11 @@
 	return &searcher{service: service, address: address, slots: make(chan struct{}, slots), work: work, rec: rec, body: textOf}
 }
 
-// start begins a new incarnation with the id. An empty address becomes a free port of 127.0.0.1, which later starts keep.
+// start begins a new incarnation with the id. An empty address becomes a free port of searcherHost, which later starts keep.
 func (x *searcher) start(id string) error {
 	address := x.address
 	if address == "" {
-		address = "127.0.0.1:0"
+		address = searcherHost() + ":0"
 	}
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
@@ -99,6 +100,10 @@
 	}
 }
 
+// searcherHost returns the loopback address of the searchers of this play. No connection begins there, so that none takes the
+// port of a searcher that is down.
+func searcherHost() string { return fmt.Sprintf("127.70.%d.%d", os.Getpid()>>8&255, 1+os.Getpid()%254) }
+
 func (x *searcher) accept(ln net.Listener) {
 	for {
 		c, err := ln.Accept()
