dialer, scatterer: logs name the use of a connection and what made a request suspect

The lines of a failed attempt didn't tell whether two attempts of one request shared a connection, and a quarantine didn't name the requests whose losses led to it. An attempt's line has the VM's end of the connection and the number of the request on it now; a loss that counts against a request has a line with its id, and so has news of one.

No behaviour changes.

--- a/dialer/call.go
+++ b/dialer/call.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
@@ -68,6 +69,7 @@
 	// RetryAfter is how long the searcher wants no requests from this VM after it has refused this one; 0 if it didn't say.
 	RetryAfter time.Duration
 	AtLimit    bool // the searcher reset the new connection because other clients hold all that it allows
+	Use        ConnUse
 	Err        error
 
 	// NativeWire leaves these empty.
@@ -76,6 +78,15 @@
 	ContentType string
 }
 
+// ConnUse identifies one use of a connection, for logs; it is zero if the request was not sent.
+type ConnUse struct {
+	Local  netip.AddrPort // the VM's end of the connection
+	Number int            // 1 for the first request on the connection
+}
+
+// String returns the use as "address#number".
+func (u ConnUse) String() string { return u.Local.String() + "#" + strconv.Itoa(u.Number) }
+
 // idlePolicy returns which idle connections the call may use.
 func (c *Call) idlePolicy() idlePolicy {
 	switch {
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -21,10 +21,20 @@
 	lastRead time.Time // of the last answer, or when a new connection was first kept as idle; zero until then
 	received int       // bytes of the answer that is being read
 	reserve  reserveFunc
+	uses     int // requests that were sent
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c} }
 
+// use identifies the last use of the connection.
+func (c *conn) use() ConnUse {
+	u := ConnUse{Number: c.uses}
+	if a, ok := c.LocalAddr().(*net.TCPAddr); ok {
+		u.Local = a.AddrPort()
+	}
+	return u
+}
+
 var (
 	readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
 	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, writeBufferSize) }}
@@ -67,6 +77,7 @@
 // so that the connection is not lost because of an answer that is about to arrive.
 func (c *conn) exchange(ctx context.Context, req *fasthttp.Request, res *fasthttp.Response, linger time.Duration, maxBody int) (silent bool, err error) {
 	c.acquire()
+	c.uses++
 	deadlineSet := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Now().Add(linger))
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -98,11 +98,13 @@
 	c.reserve = reserve
 	silent, err := c.exchange(ctx, req, res, call.Linger, call.maxBodyBytes())
 	c.reserve = nil
+	use := c.use()
 	if err != nil {
-		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Err: err}
+		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Use: use, Err: err}
 	}
 	call.onNewConn = c.isNew()
 	r := d.decode(res, &call)
+	r.Use = use
 	if r.Fault == gatherer.FaultCrossed || r.Err != nil || c.hasUnreadBytes() {
 		p.retire(c, false, time.Time{})
 	} else {
--- a/runner/news.go
+++ b/runner/news.go
@@ -22,7 +22,9 @@
 			v.recorder.Record(recorder.Event{Kind: recorder.RequestQuarantined, Detail: "told by a peer"})
 		}
 	case gossiper.NewsSuspect:
-		if v.quarantine.RecordLoss(observer.Fingerprint(n.Fingerprint), now) {
+		again := v.quarantine.RecordLoss(observer.Fingerprint(n.Fingerprint), now)
+		klog.InfoS("request: told that it was lost with a searcher", "fingerprint", n.Fingerprint, "suspect-before", again)
+		if again {
 			v.quarantine.Add(observer.Fingerprint(n.Fingerprint), now, n.Until)
 		}
 	case gossiper.NewsStoreLost:
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -114,7 +116,10 @@
 		return
 	}
 	now := r.s.now()
-	if again := r.s.Quarantine.RecordLoss(r.fingerprint, now); again || crashed >= gatherer.PoisonLosses {
+	again := r.s.Quarantine.RecordLoss(r.fingerprint, now)
+	klog.InfoS("request: lost with searchers that refuse connections", "id", string(r.req.ID), "fingerprint", uint64(r.fingerprint),
+		"lost", len(lost), "crashed", crashed, "suspect-before", again)
+	if again || crashed >= gatherer.PoisonLosses {
 		r.quarantine()
 		return
 	}
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -76,7 +76,7 @@
 
 func (r *run) recordFault(res *attemptResult) {
 	r.events = append(r.events, r.s.Recorder.Stamp(recorder.Event{
-		Kind: recorder.AttemptFailed, Request: r.req.ID, Attempt: res.event.Attempt, Fault: res.event.Fault.String(),
+		Kind: recorder.AttemptFailed, Request: r.req.ID, Attempt: res.event.Attempt, Fault: res.event.Fault.String(), Detail: res.reply.Use.String(),
 	}))
 }
 
@@ -87,7 +87,7 @@
 	}
 	searcher := &r.req.View.Searchers[r.attemptSearchers[res.event.Attempt]]
 	klog.InfoS("attempt: failed", "id", string(r.req.ID), "searcher", string(searcher.Name), "address", searcher.Address.String(),
-		"fault", res.event.Fault.String(), "status", res.reply.Status, "error", res.reply.Err)
+		"fault", res.event.Fault.String(), "status", res.reply.Status, "use", res.reply.Use.String(), "error", res.reply.Err)
 }
 
 // logExtra logs an attempt beyond the first of its shard, with its purpose and the delays that decided it. It logs
