dialer: a connection carries a request only once

Callers saw: an order ran on two searchers, or got 503 though it ran (TWICE, REFUSED); an answer over shards held one shard twice and another one not at all, with X-Missing-Parts: 0 (MIXED).

Cause: searchers repeat the id of the request, which all attempts for it share, and connections are kept by address. A late second copy of one attempt's answer was read as the answer to the next attempt for the request on that connection: a 421 for a searcher's earlier id as proof that the attempt for its new id had not run, or the answer of the shard that has the address now as that of the one that had it before.

Change: on wires whose answers name the request (Wire.SharedID) a connection remembers the ids that it has carried until their deadlines, and is not used for them again: not from the idle ones, not when passed to a waiting call. If only such connections are idle and the budget is used up, the oldest is closed for a new one; so is one that is put back for a waiting call that may not use it, so that no call waits for ever. The picker counts only connections that the request may use. An answer with the id on a connection is then that of its only attempt, or a copy of it, which says the same.

--- a/dialer/check.go
+++ b/dialer/check.go
@@ -23,7 +23,7 @@
 	c := p.oldestIdle(d.now())
 	if c == nil {
 		var err error
-		if c, err = p.take(ctx, d.now(), d.silence.minLastRead(), anyIdle, nil); err != nil {
+		if c, err = p.take(ctx, d.now(), demand{policy: anyIdle, minLastRead: d.silence.minLastRead()}); err != nil {
 			return Load{}, err
 		}
 	}
@@ -73,7 +73,7 @@
 	p := d.pool(addr)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	c, err := p.take(ctx, d.now(), time.Time{}, newOnly, nil)
+	c, err := p.take(ctx, d.now(), demand{policy: newOnly})
 	switch {
 	case err != nil:
 	case d.wire.HasLoad:
--- a/dialer/codec.go
+++ b/dialer/codec.go
@@ -19,6 +19,10 @@
 	// Read decodes the answer to the call.
 	Read    func(res *fasthttp.Response, call *Call) Reply
 	HasLoad bool // whether searchers have a load endpoint
+	// SharedID says that answers name their request, and so all attempts for it, in place of their attempt. A late second
+	// copy of one attempt's answer can't be told from the answer to the next one then, so a connection carries a request
+	// only once.
+	SharedID bool
 }
 
 // NativeWire returns the query tier's own searcher protocol: JSON bodies and the Header constants.
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -22,6 +22,7 @@
 	received int       // bytes of the answer that is being read
 	reserve  reserveFunc
 	uses     int // requests that were sent
+	carried  carriedIDs
 }
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c} }
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -80,7 +80,8 @@
 // Do sends a call on one connection and returns the result. It never sends the call a second time.
 func (d *Dialer) Do(ctx context.Context, call Call) Reply {
 	p := d.pool(call.Address)
-	c, err := p.take(ctx, d.now(), d.silence.minLastRead(), call.idlePolicy(), call.Allowed)
+	id := d.wire.answerID(call.Request)
+	c, err := p.take(ctx, d.now(), demand{policy: call.idlePolicy(), minLastRead: d.silence.minLastRead(), id: id, allowed: call.Allowed})
 	if err != nil {
 		return Reply{Fault: gatherer.FaultNotSent, AtLimit: errors.Is(err, errAtLimit), Withheld: errors.Is(err, errWithheld), Err: err}
 	}
@@ -93,6 +94,7 @@
 	d.wire.Fill(req, &call, call.Deadline.Sub(d.now()))
 	res.SkipBody = req.Header.IsHead()
 	sent := d.now()
+	c.carried.add(id, sent, call.Deadline)
 	reserve, giveBack := d.answers.reservation(ctx)
 	defer giveBack()
 	c.reserve = reserve
--- a/dialer/dialer_test.go
+++ b/dialer/dialer_test.go
@@ -30,7 +30,7 @@
 		t.Error("NeedsWarming is false although no connection is open")
 	}
 	d.Warm(t.Context(), s.addr)
-	if !d.HasIdle(s.addr) || d.NeedsWarming(s.addr) {
+	if !d.HasIdle(s.addr, "r") || d.NeedsWarming(s.addr) {
 		t.Error("no idle connection after Warm")
 	}
 	for end := time.Now().Add(5 * time.Second); !d.NeedsWarming(s.addr); time.Sleep(time.Millisecond) {
--- a/dialer/pool.go
+++ b/dialer/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -36,14 +37,21 @@
 	newOnly               // none; while waiting for the budget, a call still gets a connection that is put back
 )
 
-// take returns a connection within the budget, and waits for one if needed, as long as allowed says so; nil always does.
-// Idle connections last read before minLastRead are closed instead of used.
-func (p *pool) take(ctx context.Context, now, minLastRead time.Time, policy idlePolicy, allowed func() bool) (*conn, error) {
+// demand is what a call needs of a connection.
+type demand struct {
+	policy      idlePolicy
+	minLastRead time.Time   // idle connections of the pool last read before this are closed instead of used
+	id          answerID    // the connection may not have carried it
+	allowed     func() bool // Call.Allowed; nil allows it
+}
+
+// take returns a connection within the budget, and waits for one if needed, as long as the demand's allowed says so.
+func (p *pool) take(ctx context.Context, now time.Time, d demand) (*conn, error) {
 	p.mu.Lock()
-	if minLastRead.After(p.minLastRead) {
-		p.minLastRead = minLastRead
+	if d.minLastRead.After(p.minLastRead) {
+		p.minLastRead = d.minLastRead
 	}
-	if c := p.takeIdle(now, policy); c != nil {
+	if c := p.takeIdle(now, d); c != nil {
 		p.mu.Unlock()
 		return c, nil
 	}
@@ -56,30 +64,36 @@
 		p.mu.Unlock()
 		return nil, errWithheld
 	}
-	w := &waiter{granted: make(chan grant, 1), allowed: allowed}
+	w := &waiter{granted: make(chan grant, 1), id: d.id, allowed: d.allowed}
 	p.waiters = append(p.waiters, w)
 	p.admitWaiters(now)
 	p.mu.Unlock()
 	return p.wait(ctx, w)
 }
 
-// takeIdle returns the idle connection put back last that the policy allows, or nil if there is none.
-// It closes those that it passes over: stale, unproven or last read before minLastRead.
-func (p *pool) takeIdle(now time.Time, policy idlePolicy) *conn {
-	if policy == newOnly {
+// takeIdle returns the idle connection put back last that meets the demand. It closes those that it passes over because
+// they are stale, unproven or last read before minLastRead; those that have carried the demand's id stay. If there is none,
+// it returns nil and makes room for a new one.
+func (p *pool) takeIdle(now time.Time, d demand) *conn {
+	if d.policy == newOnly {
 		p.makeRoom(now)
 		return nil
 	}
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		unproven := policy == provenIdle && now.Sub(c.lastRead) > ProvenPeriod
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		unproven := d.policy == provenIdle && now.Sub(c.lastRead) > ProvenPeriod
 		stale := c.stale()
-		if !unproven && !c.lastRead.Before(p.minLastRead) && !stale {
+		usable := !unproven && !c.lastRead.Before(p.minLastRead) && !stale
+		if usable && c.carried.contains(d.id) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if usable {
 			return c
 		}
 		p.closeConn(c, now, stale)
 	}
+	p.makeRoom(now)
 	return nil
 }
 
@@ -100,7 +114,8 @@
 }
 
 // put gives a healthy connection to the first waiter, or keeps it as idle. It closes the connection instead if the pool
-// is closed or holds more connections than the budget. It sets the connection's lastRead to now.
+// is closed or holds more connections than the budget, or if the connection has carried the waiter's id: the waiter then
+// opens a new one. It sets the connection's lastRead to now.
 func (p *pool) put(c *conn, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -113,11 +128,16 @@
 		p.closeConn(c, now, false)
 		return
 	}
-	if w := p.popWaiter(); w != nil {
-		w.granted <- grant{conn: c}
+	if len(p.waiters) == 0 {
+		p.idle = append(p.idle, c)
+		return
+	}
+	if c.carried.contains(p.waiters[0].id) {
+		p.closeConn(c, now, false)
+		p.admitWaiters(now)
 		return
 	}
-	p.idle = append(p.idle, c)
+	p.popWaiter().granted <- grant{conn: c}
 }
 
 // putUnused puts back a connection on which nothing was sent. Its lastRead stays, unless the connection is new.
@@ -181,10 +201,11 @@
 	return len(p.idle) == 0 && p.hasRoom(now)
 }
 
-func (p *pool) hasIdle() bool {
+// hasIdle reports whether an idle connection has not carried the id.
+func (p *pool) hasIdle(id answerID) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.idle) > 0
+	return slices.ContainsFunc(p.idle, func(c *conn) bool { return !c.carried.contains(id) })
 }
 
 // trimIdle closes connections that have been idle for longer than limit.
--- a/dialer/pool_test.go
+++ b/dialer/pool_test.go
@@ -14,7 +14,7 @@
 	now := time.Now()
 	var inUse []*conn
 	for range 2 {
-		c, err := p.take(t.Context(), now, time.Time{}, anyIdle, nil)
+		c, err := p.take(t.Context(), now, demand{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -23,7 +23,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	waitErr := make(chan error, 1)
 	go func() {
-		_, err := p.take(ctx, now, time.Time{}, anyIdle, nil)
+		_, err := p.take(ctx, now, demand{})
 		waitErr <- err
 	}()
 	for _, waiting := p.size(); waiting == 0; _, waiting = p.size() {
--- a/dialer/upkeep.go
+++ b/dialer/upkeep.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/netip"
 	"time"
+
+	"github.com/pistachiogap/pistachiogap/modeler"
 )
 
 // Trim applies the budgets, closes connections idle for longer than IdleLimit,
@@ -29,10 +31,10 @@
 	}
 }
 
-// HasIdle reports whether the VM has an idle connection to the searcher.
-func (d *Dialer) HasIdle(a netip.AddrPort) bool {
+// HasIdle reports whether the VM has an idle connection to the searcher on which the request may be sent.
+func (d *Dialer) HasIdle(a netip.AddrPort, request modeler.RequestID) bool {
 	p := d.find(a)
-	return p != nil && p.hasIdle()
+	return p != nil && p.hasIdle(d.wire.answerID(request))
 }
 
 // NeedsWarming drops idle connections that the searcher has closed,
@@ -43,7 +45,7 @@
 func (d *Dialer) Warm(ctx context.Context, a netip.AddrPort) {
 	p := d.pool(a)
 	start := d.now()
-	c, err := p.take(ctx, start, time.Time{}, newOnly, nil)
+	c, err := p.take(ctx, start, demand{policy: newOnly})
 	if err != nil || !p.survives(ctx, c, d.now().Sub(start)) {
 		return
 	}
--- a/dialer/waiter.go
+++ b/dialer/waiter.go
@@ -5,6 +5,7 @@
 // waiter is a call that waits for a connection.
 type waiter struct {
 	granted chan grant  // has room for the one grant
+	id      answerID    // a granted connection has not carried it
 	allowed func() bool // Call.Allowed; nil allows it
 }
 
@@ -32,11 +33,8 @@
 	}
 }
 
-// popWaiter removes and returns the first waiter, or returns nil.
+// popWaiter removes and returns the first waiter, of which there must be one.
 func (p *pool) popWaiter() *waiter {
-	if len(p.waiters) == 0 {
-		return nil
-	}
 	w := p.waiters[0]
 	p.waiters = p.waiters[1:]
 	return w
--- a/scatterer/plan.go
+++ b/scatterer/plan.go
@@ -77,7 +77,7 @@
 func (r *run) connectionNeed(searcher int32) planner.ConnectionNeed {
 	address := r.req.View.Searchers[searcher].Address
 	switch {
-	case r.s.Dialer.HasIdle(address):
+	case r.s.Dialer.HasIdle(address, r.req.ID):
 		return planner.HasConnection
 	case r.s.Dialer.AtLimit(address):
 		return planner.NeedsConnectionAtLimit
