scatterer: a part with another shard's signature counts as missing

A second line behind 'a connection carries a request only once': nothing checked, where the parts of an answer are joined, that no two of them are one answer. A part that bears the signature of another shard's part ends its attempt as crossed now; its shard is asked again if the budget allows, or counts as missing.

Test that failed before: TestPartWithAnotherShardsSignatureIsMissing (3 parts of which two have one signature, none missing).

--- a/scatterer/attempt.go
+++ b/scatterer/attempt.go
@@ -16,6 +16,7 @@
 type attemptResult struct {
 	event    gatherer.Event
 	reply    dialer.Reply
+	shard    int32 // of an answer on a route
 	hits     []dialer.Hit
 	mismatch bool // the answer's claim differs from what the attempt asked for
 }
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -89,11 +89,30 @@
 // (dialer.Wire) has already rejected answers to other requests.
 func (r *run) forwardResult(a gatherer.Action, reply dialer.Reply) attemptResult {
 	shard := r.req.Snapshot.Shards[a.Shard]
-	return attemptResult{reply: reply, event: gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: gatherer.Claim{
+	return attemptResult{reply: reply, shard: a.Shard, event: gatherer.Event{Kind: gatherer.EventAnswer, Attempt: a.Attempt, Claim: gatherer.Claim{
 		Request: r.req.ID, Attempt: a.Attempt, Shard: shard.Name, Snapshot: r.req.Snapshot.ID, Documents: shard.Documents,
 	}}}
 }
 
+// addShardReply adds the answer of a shard to those that the caller gets.
+func (r *run) addShardReply(shard int32, reply dialer.Reply) {
+	if r.signedShards == nil {
+		r.signedShards = make(map[string]int32, len(r.plan.Shards))
+	}
+	r.signedShards[reply.Signature] = shard
+	r.shardReplies = append(r.shardReplies, ShardReply{shard, reply})
+}
+
+// isAnotherShards reports whether an answer on a route bears the signature of another shard's answer. A signature is that of
+// one answer, so one of the two is not its shard's.
+func (r *run) isAnotherShards(res *attemptResult) bool {
+	if r.req.Forward == nil || res.event.Kind != gatherer.EventAnswer {
+		return false
+	}
+	shard, ok := r.signedShards[res.reply.Signature]
+	return ok && shard != res.shard
+}
+
 // serviceName returns the name of a service of the view, or an empty name if the shard has no service (a negative
 // number).
 func (r *run) serviceName(service int32) modeler.ServiceName {
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -34,8 +34,9 @@
 	startedAt         time.Time
 	reachedSearchers  map[int32]bool // searchers that were sent an attempt
 	hits              []dialer.Hit
-	shardReplies      []ShardReply  // of a request on a route
-	rejection         *dialer.Reply // the last reply with FaultRejected
+	shardReplies      []ShardReply     // of a request on a route
+	signedShards      map[string]int32 // by signature: the shard of the reply that bears it
+	rejection         *dialer.Reply    // the last reply with FaultRejected
 	faultCounts       gatherer.FaultCounts
 	events            []recorder.Event
 	isSampled         bool // the events are kept even if the query is complete without extra attempts
@@ -105,6 +106,9 @@
 
 // toEvent returns the event of an attempt's result and records its fault, if any.
 func (r *run) toEvent(res *attemptResult) *gatherer.Event {
+	if r.isAnotherShards(res) {
+		res.event = gatherer.Event{Kind: gatherer.EventFault, Attempt: res.event.Attempt, Fault: gatherer.FaultCrossed}
+	}
 	if res.event.Kind == gatherer.EventFault {
 		r.recordFault(res)
 		r.logFault(res)
@@ -132,7 +136,7 @@
 		r.noteHalfAnswered(r.s.now())
 		r.hits = append(r.hits, res.hits...)
 		if r.req.Forward != nil {
-			r.shardReplies = append(r.shardReplies, ShardReply{a.Shard, res.reply})
+			r.addShardReply(a.Shard, res.reply)
 		}
 		r.recordAttempt(recorder.AttemptAnswered, a)
 	case gatherer.ActionDrop:
