observer, scatterer: crashes count by the moments that explain them, and an answer refutes them

Callers saw: after one crash of all searchers of a service a request of which several copies were under way got 503 on all VMs, whoever sent it, for ten minutes (CONFIG); so did orders with one path and body after the crashes of two searchers some seconds apart.

Cause: each loss of a searcher counted as one crash by the request. One crash of a service was counted by each equal request under way (here and on other VMs, whose news counted like an own loss) and by each attempt of one request.

Change: a searcher crashed between when it was last known to be alive, by the connection that was lost, and the loss. What counts is the least number of moments that explain all crashes: two for a request that was never answered, three that lie apart for one that was answered lately. An answer refutes all crashes before it, ends a quarantine, and is told to the other VMs; news of a crash names the searcher. Before a quarantine the searchers of the service that did not run the request are asked. A retry of a request that lost its searcher opens a connection, so that its second crash is proved. The VM that found the crashes lets one request through after 30 s. The same holds for searches of the own protocol: a single lost connection counts by moments, and a search that was answered lately isn't quarantined by one verdict.

Tests that failed before: TestPopularRequestIsServedAfterCrashes, TestNewRequestIsServedAfterOneCrashOfItsService. TestRequestThatCrashesSearchersStaysInItsBudget, TestRequestThatCrashesSearchersInTheirAnswersIsWithheld and the scenarios poison, poison_relayed and innocent hold that such a request is still withheld. TestQuarantine demanded that the second of two losses at one moment counts, which is the fault. Its lines on RecordLoss gave way to TestWhichCrashesLeadToQuarantine and two properties, which demand as much of crashes at different times.

--- a/dialer/call.go
+++ b/dialer/call.go
@@ -70,6 +70,7 @@
 	RetryAfter time.Duration
 	AtLimit    bool // the searcher reset the new connection because other clients hold all that it allows
 	Use        ConnUse
+	AliveAt    time.Time // before the request was sent: when the searcher was last known to be alive, by this connection
 	Err        error
 
 	// NativeWire leaves these empty.
--- a/dialer/conn.go
+++ b/dialer/conn.go
@@ -18,6 +18,7 @@
 	net.Conn
 	r        *bufio.Reader
 	w        *bufio.Writer
+	openedAt time.Time
 	lastRead time.Time // of the last answer, or when a new connection was first kept as idle; zero until then
 	received int       // bytes of the answer that is being read
 	reserve  reserveFunc
@@ -27,6 +28,14 @@
 
 func newConn(c net.Conn) *conn { return &conn{Conn: c} }
 
+// aliveAt returns when the searcher last answered on the connection, or accepted it.
+func (c *conn) aliveAt() time.Time {
+	if c.lastRead.After(c.openedAt) {
+		return c.lastRead
+	}
+	return c.openedAt
+}
+
 // use identifies the last use of the connection.
 func (c *conn) use() ConnUse {
 	u := ConnUse{Number: c.uses}
--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -94,6 +94,7 @@
 	d.wire.Fill(req, &call, call.Deadline.Sub(d.now()))
 	res.SkipBody = req.Header.IsHead()
 	sent := d.now()
+	aliveAt := c.aliveAt()
 	c.carried.add(id, sent, call.Deadline)
 	reserve, giveBack := d.answers.reservation(ctx)
 	defer giveBack()
@@ -102,11 +103,11 @@
 	c.reserve = nil
 	use := c.use()
 	if err != nil {
-		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Use: use, Err: err}
+		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Use: use, AliveAt: aliveAt, Err: err}
 	}
 	call.onNewConn = c.isNew()
 	r := d.decode(res, &call)
-	r.Use = use
+	r.Use, r.AliveAt = use, aliveAt
 	if r.Fault == gatherer.FaultCrossed || r.Err != nil || c.hasUnreadBytes() {
 		p.retire(c, false, time.Time{})
 	} else {
--- a/dialer/limit.go
+++ b/dialer/limit.go
@@ -31,6 +31,7 @@
 		return nil, err
 	}
 	c := newConn(raw)
+	c.openedAt = p.now()
 	if (p.isAtLimit(p.now()) || p.mayReset()) && !p.survives(ctx, c, p.now().Sub(start)) {
 		return nil, errAtLimit
 	}
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -63,12 +63,13 @@
 	NewsQuarantine NewsKind = iota + 1 // a quarantined request
 	NewsDraining                       // a draining searcher
 	NewsStoreLost                      // a VM that cannot read the platform's store
-	NewsSuspect                        // a request that may have crashed one searcher; not related to the state Suspect
+	NewsSuspect                        // a request that may have crashed the searcher at Address; not related to the state Suspect
 	NewsSlow                           // a searcher whose answers take much longer than usual for its service
+	NewsSound                          // a suspect or quarantined request that was answered
 )
 
-// News is a fact that every VM has to know at once. It concerns either a request, given by Fingerprint, or a searcher
-// or VM, given by Address.
+// News is a fact that every VM has to know at once. It concerns a request, given by Fingerprint, or a searcher or VM, given
+// by Address; NewsSuspect has both, but no valid Address if it is from an earlier version.
 type News struct {
 	Kind        NewsKind
 	Fingerprint uint64
@@ -131,9 +132,12 @@
 
 func newsFromWire(w *messenger.News) (News, error) {
 	n := News{Kind: NewsKind(w.GetKind()), Fingerprint: w.GetSubject(), Until: time.UnixMilli(w.GetUntilMillis())}
-	if n.Kind < NewsQuarantine || n.Kind > NewsSlow {
+	if n.Kind < NewsQuarantine || n.Kind > NewsSound {
 		return News{}, errors.Errorf("news has unknown kind %d", w.GetKind())
 	}
+	if n.Kind == NewsSuspect {
+		n.Address, _ = netip.ParseAddrPort(w.GetAddress())
+	}
 	if n.Kind == NewsDraining || n.Kind == NewsStoreLost || n.Kind == NewsSlow {
 		a, err := netip.ParseAddrPort(w.GetAddress())
 		if err != nil {
--- a/observer/constants.go
+++ b/observer/constants.go
@@ -89,10 +89,23 @@
 	// MaxLatency is the longest latency in the windows; longer ones count as MaxLatency.
 	MaxLatency = 10 * time.Second
 
-	// QuarantinePeriod is how long a request that crashes searchers is quarantined, and how long a suspected one stays
-	// suspect. A Quarantine holds at most MaxQuarantined of each.
-	QuarantinePeriod = 10 * time.Minute
-	MaxQuarantined   = 4096
+	// QuarantinePeriod is how long a request that crashes searchers is quarantined, and how long a crash counts. A Quarantine
+	// holds at most MaxQuarantined quarantined and as many suspect requests, with MaxCrashMoments moments and
+	// MaxCrashedSearchers searchers each.
+	QuarantinePeriod    = 10 * time.Minute
+	MaxQuarantined      = 4096
+	MaxCrashMoments     = 8
+	MaxCrashedSearchers = 64
+	// A request is quarantined once its crashes need PoisonMoments moments to explain them, or KnownGoodMoments if it was
+	// answered lately. The searchers of a failing domain crash within CrashSpan, which only counts for the latter: a request
+	// that was never answered is compared with control searchers in its place.
+	PoisonMoments    = 2
+	KnownGoodMoments = 3
+	CrashSpan        = time.Second
+	// ToldCrashSpan is CrashSpan with the difference of two VMs' times of day.
+	ToldCrashSpan = 3 * time.Second
+	// TrialDelay is how long after its quarantine one request is let through.
+	TrialDelay = 30 * time.Second
 	// KnownGoodPeriod is how long an answered request is known to be good. A Quarantine holds at most MaxKnownGood.
 	KnownGoodPeriod = 10 * time.Minute
 	MaxKnownGood    = 1 << 14
--- a/observer/quarantine.go
+++ b/observer/quarantine.go
@@ -1,7 +1,7 @@
 package observer
 
 import (
-	"encoding/binary"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -40,89 +40,180 @@
 	return d
 }
 
-// At returns the fingerprint of the request on one snapshot, which differs from f.
-func (f Fingerprint) At(id modeler.SnapshotID) Fingerprint {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:], uint64(f))
-	binary.LittleEndian.PutUint64(b[8:], uint64(id))
-	return Fingerprint(xxhash.Sum64(b[:]))
+// goodAnswer is the last answer to a request.
+type goodAnswer struct {
+	at       time.Time
+	snapshot modeler.SnapshotID // 0 if another VM told of the answer
 }
 
-// Quarantine records the requests that crash searchers, those suspected of it, and those that were answered
-// recently. Each entry expires. RecordGood and KnownGood take the fingerprint of a request on one snapshot
-// (Fingerprint.At), all other methods that of the request on any snapshot.
+func (g goodAnswer) expiry() time.Time { return g.at.Add(KnownGoodPeriod) }
+
+// blocked is the quarantine of a request.
+type blocked struct {
+	until   time.Time
+	trialAt time.Time // when one request is let through; zero if none is
+}
+
+func (b blocked) expiry() time.Time { return b.until }
+
+// Quarantine records the requests that crash searchers, those suspected of it, and those that were answered recently. Each
+// entry expires.
+//
+// A request that crashes searchers crashes each one that runs it. So an answer refutes all crashes before it, and ends a
+// quarantine. Crashes count by the moments that are needed to explain them (see crashMoments): PoisonMoments lead to
+// quarantine, or KnownGoodMoments if the request was answered within KnownGoodPeriod.
 type Quarantine struct {
-	mu               sync.Mutex
-	quarantinedUntil map[Fingerprint]time.Time
-	suspectUntil     map[Fingerprint]time.Time
-	goodUntil        map[Fingerprint]time.Time // by the fingerprint on one snapshot
+	mu       sync.Mutex
+	blocked  map[Fingerprint]blocked
+	suspects map[Fingerprint]*suspicion
+	good     map[Fingerprint]goodAnswer
 }
 
 // NewQuarantine makes an empty quarantine.
 func NewQuarantine() *Quarantine {
-	return &Quarantine{
-		quarantinedUntil: map[Fingerprint]time.Time{},
-		suspectUntil:     map[Fingerprint]time.Time{},
-		goodUntil:        map[Fingerprint]time.Time{},
-	}
+	return &Quarantine{blocked: map[Fingerprint]blocked{}, suspects: map[Fingerprint]*suspicion{}, good: map[Fingerprint]goodAnswer{}}
 }
 
-// Add quarantines a request until the given time and reports whether the request was not quarantined before. It never
-// shortens a quarantine. If until is not after now, it changes nothing and returns false. It deletes the entry of
-// goodUntil under f only; entries of the request on one snapshot have other fingerprints and stay.
+// Add quarantines a request until the given time, as another VM has found, and reports whether the request was not
+// quarantined before. It never shortens a quarantine. If until is not after now, it changes nothing and returns false. The
+// trial of the request is left to the other VM.
 func (q *Quarantine) Add(f Fingerprint, now, until time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !until.After(now) || !until.After(q.quarantinedUntil[f]) {
-		return false
+	return q.block(f, now, blocked{until: until})
+}
+
+// Find quarantines a request whose crashes this VM has found to suffice, unless it is quarantined already. It returns until
+// when, and whether the request was not quarantined before. One request is let through after TrialDelay, so that a mistake
+// does not last.
+func (q *Quarantine) Find(f Fingerprint, now time.Time) (until time.Time, isNew bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if until = q.blocked[f].until; now.Before(until) {
+		return until, false
 	}
-	if len(q.quarantinedUntil) >= MaxQuarantined {
-		evict(q.quarantinedUntil, now)
+	until = now.Add(QuarantinePeriod)
+	return until, q.block(f, now, blocked{until: until, trialAt: now.Add(TrialDelay)})
+}
+
+// block adds a quarantine unless one that ends as late is in force. The caller holds the lock.
+func (q *Quarantine) block(f Fingerprint, now time.Time, b blocked) (isNew bool) {
+	known := q.blocked[f].until
+	if !b.until.After(now) || !b.until.After(known) {
+		return false
 	}
-	isNew := !now.Before(q.quarantinedUntil[f])
-	q.quarantinedUntil[f] = until
-	delete(q.goodUntil, f)
-	return isNew
+	makeRoom(q.blocked, f, now, MaxQuarantined)
+	q.blocked[f] = b
+	return !now.Before(known)
 }
 
 // Contains reports whether a request is quarantined.
 func (q *Quarantine) Contains(f Fingerprint, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return now.Before(q.quarantinedUntil[f])
+	return now.Before(q.blocked[f].until)
+}
+
+// TakeTrial reports whether a quarantined request may run once to find out whether it still crashes searchers.
+func (q *Quarantine) TakeTrial(f Fingerprint, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b, ok := q.blocked[f]
+	if !ok || b.trialAt.IsZero() || now.Before(b.trialAt) {
+		return false
+	}
+	b.trialAt = time.Time{}
+	q.blocked[f] = b
+	return true
+}
+
+// RecordCrashes records crashes of searchers that were running a request, and reports whether all that are known suffice to
+// quarantine it. Crashes before the last answer do not count.
+func (q *Quarantine) RecordCrashes(f Fingerprint, now time.Time, crashes ...Crash) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	s := q.suspects[f]
+	if s == nil {
+		s = &suspicion{}
+	}
+	for _, c := range crashes {
+		if c.At.After(q.good[f].at) {
+			s.add(c, now)
+		}
+	}
+	if len(s.moments) == 0 {
+		return false
+	}
+	makeRoom(q.suspects, f, now, MaxQuarantined)
+	q.suspects[f] = s
+	if q.answeredLately(f, now) {
+		return len(crashMoments(s.moments, CrashSpan)) >= KnownGoodMoments
+	}
+	return len(s.moments) >= PoisonMoments
 }
 
-// RecordLoss makes a request suspect for QuarantinePeriod, and reports whether the request already was suspect. A
-// search becomes suspect if it got no answer and lost a single connection, a request on a route if it got no answer
-// and crashed a searcher. News from another VM that a request is suspect is recorded here too.
-func (q *Quarantine) RecordLoss(f Fingerprint, now time.Time) bool {
+// Suspected reports whether the searcher at the address crashed while it ran the request.
+func (q *Quarantine) Suspected(f Fingerprint, searcher netip.AddrPort) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	repeated := now.Before(q.suspectUntil[f])
-	if len(q.suspectUntil) >= MaxQuarantined {
-		evict(q.suspectUntil, now)
+	if q.suspects[f] == nil {
+		return false
 	}
-	q.suspectUntil[f] = now.Add(QuarantinePeriod)
-	return repeated
+	_, ok := q.suspects[f].searchers[searcher]
+	return ok
+}
+
+// RecordGood records that a searcher answered the request on a snapshot, and reports whether the request was suspect or
+// quarantined.
+func (q *Quarantine) RecordGood(f Fingerprint, snapshot modeler.SnapshotID, now time.Time) (wasSuspect bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	makeRoom(q.good, f, now, MaxKnownGood)
+	q.good[f] = goodAnswer{now, snapshot}
+	wasSuspect = q.suspects[f] != nil || now.Before(q.blocked[f].until)
+	delete(q.suspects, f)
+	delete(q.blocked, f)
+	return wasSuspect
 }
 
-// RecordGood records that a searcher answered the request on one snapshot. It deletes the entry of suspectUntil
-// under f only; that of the request on any snapshot has another fingerprint and stays.
-func (q *Quarantine) RecordGood(f Fingerprint, now time.Time) {
+// ToldGood records that the request was answered on another VM at the given time.
+func (q *Quarantine) ToldGood(f Fingerprint, now, at time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.goodUntil) >= MaxKnownGood {
-		evict(q.goodUntil, now)
+	at = earliest(at, now)
+	if !at.After(q.good[f].at) {
+		return
+	}
+	makeRoom(q.good, f, now, MaxKnownGood)
+	q.good[f] = goodAnswer{at: at}
+	if s := q.suspects[f]; s != nil {
+		s.drop(at)
+		if len(s.moments) == 0 {
+			delete(q.suspects, f)
+		}
+	}
+	if since := q.blocked[f].until.Add(-QuarantinePeriod); at.After(since) {
+		delete(q.blocked, f)
 	}
-	q.goodUntil[f] = now.Add(KnownGoodPeriod)
-	delete(q.suspectUntil, f)
 }
 
 // KnownGood reports whether a searcher answered the same request on the same snapshot within KnownGoodPeriod.
-func (q *Quarantine) KnownGood(f Fingerprint, now time.Time) bool {
+func (q *Quarantine) KnownGood(f Fingerprint, snapshot modeler.SnapshotID, now time.Time) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return now.Before(q.goodUntil[f])
+	return q.answeredLately(f, now) && q.good[f].snapshot == snapshot
+}
+
+// AnsweredLately reports whether the request was answered within KnownGoodPeriod.
+func (q *Quarantine) AnsweredLately(f Fingerprint, now time.Time) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.answeredLately(f, now)
+}
+
+func (q *Quarantine) answeredLately(f Fingerprint, now time.Time) bool {
+	g, ok := q.good[f]
+	return ok && now.Before(g.expiry())
 }
 
 // List returns the quarantined requests and the time until which each is quarantined.
@@ -130,20 +221,25 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	m := map[Fingerprint]time.Time{}
-	for f, t := range q.quarantinedUntil {
-		if now.Before(t) {
-			m[f] = t
+	for f, b := range q.blocked {
+		if now.Before(b.until) {
+			m[f] = b.until
 		}
 	}
 	return m
 }
 
-// evict deletes all expired entries or, if there are none, the one that expires first.
-func evict(m map[Fingerprint]time.Time, now time.Time) {
+// makeRoom deletes all expired entries, or the one that expires first if none has expired, if a new entry for the request
+// would be beyond the limit.
+func makeRoom[V interface{ expiry() time.Time }](m map[Fingerprint]V, f Fingerprint, now time.Time, limit int) {
+	if _, ok := m[f]; ok || len(m) < limit {
+		return
+	}
 	var first Fingerprint
 	var expiry time.Time
 	n := len(m)
-	for f, t := range m {
+	for f, v := range m {
+		t := v.expiry()
 		if !now.Before(t) {
 			delete(m, f)
 			continue
--- a/runner/news.go
+++ b/runner/news.go
@@ -18,15 +18,12 @@
 	now := time.Now()
 	switch n.Kind {
 	case gossiper.NewsQuarantine:
-		if v.quarantine.Add(observer.Fingerprint(n.Fingerprint), now, n.Until) {
-			v.recorder.Record(recorder.Event{Kind: recorder.RequestQuarantined, Detail: "told by a peer"})
-		}
+		v.handleQuarantineNews(n, now)
 	case gossiper.NewsSuspect:
-		again := v.quarantine.RecordLoss(observer.Fingerprint(n.Fingerprint), now)
-		klog.InfoS("request: told that it was lost with a searcher", "fingerprint", n.Fingerprint, "suspect-before", again)
-		if again {
-			v.quarantine.Add(observer.Fingerprint(n.Fingerprint), now, n.Until)
-		}
+		v.recordToldCrash(n, now)
+	case gossiper.NewsSound:
+		klog.InfoS("request: told that it was answered", "fingerprint", n.Fingerprint)
+		v.quarantine.ToldGood(observer.Fingerprint(n.Fingerprint), now, n.Until.Add(-observer.KnownGoodPeriod))
 	case gossiper.NewsStoreLost:
 		v.storeLosses.record(n.Address, now)
 	case gossiper.NewsSlow:
@@ -51,23 +48,59 @@
 	return isNew
 }
 
+// handleQuarantineNews quarantines a request that another VM has found to crash searchers. If this VM knows it to be good,
+// the news counts as a crash only; the next answer to the request here ends the quarantine on the other VMs.
+func (v *VM) handleQuarantineNews(n gossiper.News, now time.Time) {
+	f := observer.Fingerprint(n.Fingerprint)
+	if v.quarantine.AnsweredLately(f, now) {
+		v.recordToldCrash(n, now)
+		return
+	}
+	if v.quarantine.Add(f, now, n.Until) {
+		v.recorder.Record(recorder.Event{Kind: recorder.RequestQuarantined, Detail: "told by a peer"})
+	}
+}
+
+// recordToldCrash records a crash that another VM saw, and quarantines its request if all crashes that are known suffice.
+func (v *VM) recordToldCrash(n gossiper.News, now time.Time) {
+	f := observer.Fingerprint(n.Fingerprint)
+	at := n.Until.Add(-observer.QuarantinePeriod)
+	if at.After(now) {
+		at = now // the other VM's time of day may be ahead
+	}
+	suffices := v.quarantine.RecordCrashes(f, now, observer.ToldCrash(n.Address, at))
+	klog.InfoS("request: told that it was lost with a searcher that crashed", "fingerprint", n.Fingerprint, "address", n.Address.String(), "suffices", suffices)
+	if !suffices {
+		return
+	}
+	if until, isNew := v.quarantine.Find(f, now); isNew {
+		v.announceQuarantine(f, until)
+	}
+}
+
 // announceQuarantine announces a request that is quarantined because it seems to crash searchers. Package scatterer
 // infers crashes from connections that were lost before an answer came. For a request on a route it also checks that
 // the searchers now refuse connections. For a search that lost several searchers it asks control searchers.
 func (v *VM) announceQuarantine(f observer.Fingerprint, until time.Time) {
 	klog.Warningf("search: request %016x crashes searchers and is quarantined", uint64(f))
-	if v.mechanisms.BroadcastNews {
-		v.gossip.Broadcast(gossiper.News{Kind: gossiper.NewsQuarantine, Fingerprint: uint64(f), Until: until})
-	}
+	v.broadcast(gossiper.News{Kind: gossiper.NewsQuarantine, Fingerprint: uint64(f), Until: until})
+}
+
+// announceCrash announces a searcher that crashed while it ran a request on a route. Suspect searches are not announced.
+func (v *VM) announceCrash(f observer.Fingerprint, c observer.Crash) {
+	v.broadcast(gossiper.News{Kind: gossiper.NewsSuspect, Fingerprint: uint64(f), Address: c.Searcher, Until: c.At.Add(observer.QuarantinePeriod)})
+}
+
+// announceSound announces a suspect or quarantined request that was answered.
+func (v *VM) announceSound(f observer.Fingerprint, at time.Time) {
+	klog.InfoS("request: suspect one was answered", "fingerprint", uint64(f))
+	v.broadcast(gossiper.News{Kind: gossiper.NewsSound, Fingerprint: uint64(f), Until: at.Add(observer.KnownGoodPeriod)})
 }
 
-// announceSuspect announces a request on a route that seems to have crashed one searcher: the connection that carried it
-// was lost before an answer came, and the searcher then refused connections. If a VM that knows of this sees it happen
-// again within observer.QuarantinePeriod, the request is quarantined. Suspect searches are not announced.
-func (v *VM) announceSuspect(f observer.Fingerprint, until time.Time) {
-	klog.InfoS("search: request crashed a searcher", "fingerprint", uint64(f))
+// broadcast spreads news to the other VMs.
+func (v *VM) broadcast(n gossiper.News) {
 	if v.mechanisms.BroadcastNews {
-		v.gossip.Broadcast(gossiper.News{Kind: gossiper.NewsSuspect, Fingerprint: uint64(f), Until: until})
+		v.gossip.Broadcast(n)
 	}
 }
 
@@ -75,9 +108,7 @@
 func (v *VM) announceSlow(s *planner.Searcher, until time.Time) {
 	klog.InfoS("upstream: searcher is slow", "searcher", string(s.Name), "address", s.Address.String(), "expected-ms", s.Health.CurrentState(time.Now()).Latency.Milliseconds())
 	v.counter("searchers.found-slow").Inc(1)
-	if v.mechanisms.BroadcastNews {
-		v.gossip.Broadcast(gossiper.News{Kind: gossiper.NewsSlow, Address: s.Address, Until: until})
-	}
+	v.broadcast(gossiper.News{Kind: gossiper.NewsSlow, Address: s.Address, Until: until})
 }
 
 // announceDrainingInBand announces a searcher that reported in an answer to a request that it is draining.
@@ -93,7 +124,5 @@
 func (v *VM) announceDraining(a netip.AddrPort, source string) {
 	klog.Infof("upstream: searcher %s is draining (source: %s)", a, source)
 	v.recorder.Record(recorder.Event{Kind: recorder.SearcherDraining, Detail: source + ": " + a.String()})
-	if v.mechanisms.BroadcastNews {
-		v.gossip.Broadcast(gossiper.News{Kind: gossiper.NewsDraining, Address: a, Until: time.Now().Add(DrainingNewsTTL)})
-	}
+	v.broadcast(gossiper.News{Kind: gossiper.NewsDraining, Address: a, Until: time.Now().Add(DrainingNewsTTL)})
 }
--- a/scatterer/diagnose.go
+++ b/scatterer/diagnose.go
@@ -69,55 +69,15 @@
 // searchers of its own services there, searchers of other services are asked. If these are dead, the result is
 // Unclear, because the parts of the request on other VMs may have crashed them.
 func (s *Scatterer) domainLiveness(ctx context.Context, v *planner.View, domain int32, c controls) dialer.Liveness {
-	own, asked := s.majorityLiveness(ctx, v, domain, MaxOwnControls, c.own)
+	within := func(eligible func(int32) bool) func(int32) bool {
+		return func(searcher int32) bool { return v.Searchers[searcher].Domain == domain && eligible(searcher) }
+	}
+	own, asked := s.majorityLiveness(ctx, v, MaxOwnControls, within(c.own))
 	if asked > 0 {
 		return own
 	}
-	if other, _ := s.majorityLiveness(ctx, v, domain, MaxOtherControls, c.other); other == dialer.Alive {
+	if other, _ := s.majorityLiveness(ctx, v, MaxOtherControls, within(c.other)); other == dialer.Alive {
 		return dialer.Alive
 	}
 	return dialer.Unclear
 }
-
-// majorityLiveness checks at most limit eligible searchers of a failure domain, from a random one on. It returns the
-// liveness that more than half of them have, or Unclear, and how many were checked.
-func (s *Scatterer) majorityLiveness(ctx context.Context, v *planner.View, domain int32, limit int, eligible func(int32) bool) (dialer.Liveness, int) {
-	count := map[dialer.Liveness]int{}
-	asked := 0
-	offset := s.random(len(v.Searchers))
-	for i := range v.Searchers {
-		n := int32((i + offset) % len(v.Searchers))
-		if asked == limit || v.Searchers[n].Domain != domain || !eligible(n) {
-			continue
-		}
-		asked++
-		count[s.Dialer.Check(ctx, v.Searchers[n].Address, CheckTimeout)]++
-	}
-	for _, l := range []dialer.Liveness{dialer.Alive, dialer.Dead} {
-		if 2*count[l] > asked {
-			return l, asked
-		}
-	}
-	return dialer.Unclear, asked
-}
-
-// countDead returns how many of the lost attempts went to searchers that refuse connections now. A searcher that lost
-// only an answer still accepts connections.
-func (s *Scatterer) countDead(ctx context.Context, v *planner.View, lost []int32) int {
-	n := 0
-	for _, searcher := range lost {
-		if s.Dialer.Check(ctx, v.Searchers[searcher].Address, CheckTimeout) == dialer.Dead {
-			n++
-		}
-	}
-	return n
-}
-
-// diagnoseForward is diagnose for a request on a route. On routes, answers are also lost without a crash, so the
-// request is innocent unless countDead finds at least PoisonLosses; then diagnose decides.
-func (s *Scatterer) diagnoseForward(ctx context.Context, v *planner.View, lost []int32, c controls) diagnosis {
-	if s.countDead(ctx, v, lost) < gatherer.PoisonLosses {
-		return diagnosis{verdict: gatherer.Innocent, lost: len(lost)}
-	}
-	return s.diagnose(ctx, v, lost, c)
-}
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -1,15 +1,11 @@
 package scatterer
 
 import (
-	"context"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/modeler"
-	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/planner"
 )
 
@@ -71,6 +67,7 @@
 		call.MaxBodyBytes = dialer.MaxPartBytes
 	}
 	call.ProvenOnly = r.req.Forward.AtMostOnce || needsProof(a.Purpose)
+	call.NewConnection = call.NewConnection || r.mayCrash(a.Purpose)
 }
 
 // needsProof reports whether an attempt on a route may only use a connection that was read from lately. Primary attempts
@@ -121,26 +118,3 @@
 	}
 	return r.req.View.Services[service].Name
 }
-
-// diagnoseLateForward quarantines an unanswered request on a route that crashed two searchers, both in this run or one
-// in each of two runs. A request that has crashed only one searcher becomes suspect.
-func (r *run) diagnoseLateForward(ctx context.Context, lost []int32) {
-	if r.quarantined || r.query.AnsweredShards() > 0 || len(lost) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), CheckTimeout)
-	defer cancel()
-	crashed := r.s.countDead(ctx, r.req.View, lost)
-	if crashed == 0 {
-		return
-	}
-	now := r.s.now()
-	again := r.s.Quarantine.RecordLoss(r.fingerprint, now)
-	klog.InfoS("request: lost with searchers that refuse connections", "id", string(r.req.ID), "fingerprint", uint64(r.fingerprint),
-		"lost", len(lost), "crashed", crashed, "suspect-before", again)
-	if again || crashed >= gatherer.PoisonLosses {
-		r.quarantine()
-		return
-	}
-	r.s.onSuspect(r.fingerprint, now.Add(observer.QuarantinePeriod))
-}
--- a/scatterer/plan.go
+++ b/scatterer/plan.go
@@ -49,7 +49,7 @@
 		Patience:      r.req.Deadline,
 		LeastCoverage: policy.LeastCoverage,
 		Probes:        gatherer.CanaryProbes,
-		KnownGood:     r.s.Quarantine.KnownGood(r.fingerprint.At(r.req.Snapshot.ID), now),
+		KnownGood:     r.s.Quarantine.KnownGood(r.fingerprint, r.req.Snapshot.ID, now),
 	}
 	if policy.Patience.Duration > 0 {
 		plan.Patience = now.Add(policy.Patience.Duration)
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -37,12 +37,12 @@
 	if res.Answered < res.Shards {
 		res.Missing = r.query.MissingShards()
 	}
-	if res.Answered > 0 {
-		r.s.Quarantine.RecordGood(r.fingerprint.At(r.req.Snapshot.ID), now)
+	if res.Answered > 0 && r.s.Quarantine.RecordGood(r.fingerprint, r.req.Snapshot.ID, now) {
+		r.s.onSound(r.fingerprint, now)
 	}
-	// An unanswered search with a single loss becomes suspect; if that happens again within observer.QuarantinePeriod, it
-	// is quarantined. For a request on a route see diagnoseLateForward.
-	if r.req.Forward == nil && res.Answered == 0 && res.Lost == 1 && r.s.Quarantine.RecordLoss(r.fingerprint, now) {
+	// An unanswered search with a single loss becomes suspect; if that happens again, and not at the same moment, it is
+	// quarantined. For a request on a route see diagnoseLateForward.
+	if r.req.Forward == nil && res.Answered == 0 && res.Lost == 1 && r.s.Quarantine.RecordCrashes(r.fingerprint, now, r.losses...) {
 		r.quarantine()
 		res.Crashed = true
 	}
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -37,6 +37,7 @@
 	shardReplies      []ShardReply     // of a request on a route
 	signedShards      map[string]int32 // by signature: the shard of the reply that bears it
 	rejection         *dialer.Reply    // the last reply with FaultRejected
+	losses            []observer.Crash // lost attempts, whose searchers may have crashed
 	faultCounts       gatherer.FaultCounts
 	events            []recorder.Event
 	isSampled         bool // the events are kept even if the query is complete without extra attempts
@@ -113,6 +114,9 @@
 		r.recordFault(res)
 		r.logFault(res)
 		r.faultCounts[res.event.Fault]++
+		if res.event.Fault == gatherer.FaultLost {
+			r.losses = append(r.losses, r.lossOf(res))
+		}
 		if res.event.Fault == gatherer.FaultRejected {
 			r.rejection = &res.reply
 		}
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -38,7 +38,8 @@
 	maxBackoff      time.Duration
 	divide          func(s *planner.Searcher, perSecond float64) limiter.QuotaPart
 	onQuarantine    func(observer.Fingerprint, time.Time)
-	onSuspect       func(observer.Fingerprint, time.Time)
+	onSuspect       func(observer.Fingerprint, observer.Crash)
+	onSound         func(observer.Fingerprint, time.Time)
 	spend           func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
 	hedgeDelay      func(learned time.Duration) time.Duration
 	underPressure   func(now time.Time) bool
@@ -90,12 +91,17 @@
 	return func(s *Scatterer) { s.onQuarantine = f }
 }
 
-// WithOnSuspect sets the callback for a request on a route that crashed one searcher, with the time until which it stays
-// suspect. It is not called for searches.
-func WithOnSuspect(f func(observer.Fingerprint, time.Time)) Option {
+// WithOnSuspect sets the callback for a crash of a searcher that was running a request on a route. It is not called for
+// searches.
+func WithOnSuspect(f func(observer.Fingerprint, observer.Crash)) Option {
 	return func(s *Scatterer) { s.onSuspect = f }
 }
 
+// WithOnSound sets the callback for a suspect or quarantined request that was answered, with the time of the answer.
+func WithOnSound(f func(observer.Fingerprint, time.Time)) Option {
+	return func(s *Scatterer) { s.onSound = f }
+}
+
 // WithSpend sets the rule that allows or denies an extra attempt.
 func WithSpend(f func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool) Option {
 	return func(s *Scatterer) { s.spend = f }
@@ -142,7 +148,8 @@
 			return limiter.QuotaPartOf(perSecond, 1, 0)
 		},
 		onQuarantine:  func(observer.Fingerprint, time.Time) {},
-		onSuspect:     func(observer.Fingerprint, time.Time) {},
+		onSuspect:     func(observer.Fingerprint, observer.Crash) {},
+		onSound:       func(observer.Fingerprint, time.Time) {},
 		spend:         SpendBudgets,
 		underPressure: func(time.Time) bool { return false },
 		hedgeDelay:    func(learned time.Duration) time.Duration { return learned },
--- a/scatterer/suspect.go
+++ b/scatterer/suspect.go
@@ -8,7 +8,6 @@
 	"k8s.io/klog/v2"
 
 	"github.com/pistachiogap/pistachiogap/gatherer"
-	"github.com/pistachiogap/pistachiogap/observer"
 	"github.com/pistachiogap/pistachiogap/recorder"
 	"github.com/pistachiogap/pistachiogap/spawner"
 )
@@ -16,18 +15,18 @@
 // startDiagnosis starts a goroutine that decides whether the request caused its losses, by checking whether control
 // searchers are alive (see diagnose). Its verdict arrives in the result channel.
 func (r *run) startDiagnosis(ctx context.Context) {
-	lost := slices.Clone(r.query.LostSearchers())
+	lost, losses := slices.Clone(r.query.LostSearchers()), slices.Clone(r.losses)
 	c := r.newControls()
 	go func() {
-		diagnose := r.s.diagnose
-		if r.req.Forward != nil {
-			diagnose = r.s.diagnoseForward
-		}
 		d := diagnosis{lost: len(lost)}
 		var err error
 		func() {
 			defer spawner.Recover("diagnosis", &err)
-			d = diagnose(ctx, r.req.View, lost, c)
+			if r.req.Forward != nil {
+				d = r.diagnoseForward(ctx, lost, losses, c)
+				return
+			}
+			d = r.confirm(r.s.diagnose(ctx, r.req.View, lost, c), losses)
 		}()
 		r.logDiagnosis(d)
 		select {
@@ -41,11 +40,7 @@
 // request may have crashed them.
 func (r *run) newControls() controls {
 	reached := maps.Clone(r.reachedSearchers)
-	services := map[int32]bool{}
-	for _, shard := range r.req.Snapshot.Shards {
-		services[shard.Service] = true
-	}
-	isOwn := func(searcher int32) bool { return services[r.req.View.Searchers[searcher].Service] }
+	isOwn := r.ownServices()
 	return controls{
 		own:   func(searcher int32) bool { return isOwn(searcher) && !reached[searcher] },
 		other: func(searcher int32) bool { return !isOwn(searcher) },
@@ -56,17 +51,17 @@
 // quarantined already. The share of lost attempts may not have been high enough for an ActionCheck before the end. A
 // request on a route is left to diagnoseLateForward.
 func (r *run) diagnoseLate(ctx context.Context) {
-	lost := r.query.LostSearchers()
 	if r.req.Forward != nil {
-		r.diagnoseLateForward(ctx, lost)
+		r.diagnoseLateForward(ctx)
 		return
 	}
+	lost := r.query.LostSearchers()
 	if r.quarantined || r.query.AnsweredShards() > 0 || len(lost) < gatherer.PoisonLosses {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), DiagnosisTimeout)
 	defer cancel()
-	d := r.s.diagnose(ctx, r.req.View, lost, r.newControls())
+	d := r.confirm(r.s.diagnose(ctx, r.req.View, lost, r.newControls()), r.losses)
 	r.logDiagnosis(d)
 	if d.verdict == gatherer.Poisonous {
 		r.quarantine()
@@ -82,9 +77,7 @@
 // quarantine quarantines the request and calls onQuarantine if it was not quarantined before.
 func (r *run) quarantine() {
 	r.quarantined = true
-	now := r.s.now()
-	until := now.Add(observer.QuarantinePeriod)
-	if r.s.Quarantine.Add(r.fingerprint, now, until) {
+	if until, isNew := r.s.Quarantine.Find(r.fingerprint, r.s.now()); isNew {
 		r.s.onQuarantine(r.fingerprint, until)
 	}
 	r.events = append(r.events, r.s.Recorder.Stamp(recorder.Event{Kind: recorder.RequestQuarantined, Request: r.req.ID}))
--- a/server/forward.go
+++ b/server/forward.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/limiter"
 	"github.com/pistachiogap/pistachiogap/modeler"
@@ -70,6 +72,7 @@
 	snapshot    *planner.Snapshot
 	body        []byte
 	fingerprint observer.Fingerprint
+	trial       bool // the request is quarantined, and let through to find out whether it still crashes searchers
 }
 
 // ServeHTTP answers one request on a route.
@@ -123,9 +126,13 @@
 		rr.deadline = earlierTime(rr.deadline, rr.start.Add(rr.info.Budget-ReturnMargin))
 	}
 	rr.fingerprint = observer.FingerprintOfMessage(rr.route.Index.Name, r.Method, r.RequestURI, rr.body)
-	if h.Quarantine.Contains(rr.fingerprint, rr.start) {
+	if !h.Quarantine.Contains(rr.fingerprint, rr.start) {
+		return nil
+	}
+	if rr.trial = h.Quarantine.TakeTrial(rr.fingerprint, rr.start); !rr.trial {
 		return refuser.New(refuser.Withheld, "this request crashed searchers and is not run")
 	}
+	klog.InfoS("request: trial of a quarantined one", "id", string(rr.info.ID), "fingerprint", uint64(rr.fingerprint))
 	return nil
 }
 
@@ -208,6 +215,9 @@
 			Reserve:     rr.route.Reserve,
 		},
 	}
+	if rr.trial {
+		req.Forward.MaxRuns = 1
+	}
 	if len(rr.route.Shards) > 0 && rr.route.Objective.Duration > 0 {
 		req.Forward.Patience = earlierTime(rr.deadline, rr.start.Add(rr.route.Objective.Duration-ObjectiveMargin))
 	}
