scatterer: a query that has an answer retries lost attempts on open connections

Cause: the retry after a lost searcher opened a connection to prove the next searcher alive, also where another shard had answered the request, which shows already that it doesn't crash searchers. Where searchers lose answers, each such retry would have opened one.

Test that failed before: TestWhichRetriesProveThatTheirSearcherIsAlive, with an answer of another shard.

--- a/scatterer/crash.go
+++ b/scatterer/crash.go
@@ -15,7 +15,10 @@
 // mayCrash reports whether an attempt on a route repeats a request that lost a searcher and is not known to be good. Such an
 // attempt opens a connection, which shows that its searcher did not crash together with the one before.
 func (r *run) mayCrash(p gatherer.Purpose) bool {
-	return p == gatherer.Retry && len(r.losses) > 0 && !r.s.Quarantine.AnsweredLately(r.fingerprint, r.s.now())
+	if p != gatherer.Retry || len(r.losses) == 0 || r.query.AnsweredShards() > 0 {
+		return false
+	}
+	return !r.s.Quarantine.AnsweredLately(r.fingerprint, r.s.now())
 }
 
 // lossOf returns the loss of an attempt's searcher, which may have crashed.
