scatterer: all attempts of a suspect request open connections

Cause: a crash on a connection that was idle since before an earlier crash is no second moment. Only a retry in the same run opened a connection.

Change: so does each attempt of a request that is suspect and was not answered lately.

--- a/observer/quarantine.go
+++ b/observer/quarantine.go
@@ -152,8 +152,15 @@
 	return len(s.moments) >= PoisonMoments
 }
 
-// Suspected reports whether the searcher at the address crashed while it ran the request.
-func (q *Quarantine) Suspected(f Fingerprint, searcher netip.AddrPort) bool {
+// IsSuspect reports whether searchers crashed while they ran the request, and it was not answered since.
+func (q *Quarantine) IsSuspect(f Fingerprint) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.suspects[f] != nil
+}
+
+// HasCrashed reports whether the searcher at the address crashed while it ran the request.
+func (q *Quarantine) HasCrashed(f Fingerprint, searcher netip.AddrPort) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.suspects[f] == nil {
@@ -176,7 +183,7 @@
 	return wasSuspect
 }
 
-// ToldGood records that the request was answered on another VM at the given time.
+// ToldGood records that the request was answered on another VM at the given time, by that VM's time of day.
 func (q *Quarantine) ToldGood(f Fingerprint, now, at time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -192,7 +199,7 @@
 			delete(q.suspects, f)
 		}
 	}
-	if since := q.blocked[f].until.Add(-QuarantinePeriod); at.After(since) {
+	if since := q.blocked[f].until.Add(-QuarantinePeriod); at.Add(ToldCrashSpan).After(since) {
 		delete(q.blocked, f)
 	}
 }
--- a/scatterer/crash.go
+++ b/scatterer/crash.go
@@ -12,10 +12,10 @@
 	"github.com/pistachiogap/pistachiogap/planner"
 )
 
-// mayCrash reports whether an attempt on a route repeats a request that lost a searcher and is not known to be good. Such an
-// attempt opens a connection, which shows that its searcher did not crash together with the one before.
-func (r *run) mayCrash(p gatherer.Purpose) bool {
-	if p != gatherer.Retry || len(r.losses) == 0 || r.query.AnsweredShards() > 0 {
+// mayCrash reports whether an attempt on a route belongs to a request that has lost searchers, in this run or before, and is
+// not known to be good. Such an attempt opens a connection, which shows that its searcher did not crash with those before.
+func (r *run) mayCrash() bool {
+	if (!r.isSuspect && len(r.losses) == 0) || r.query.AnsweredShards() > 0 {
 		return false
 	}
 	return !r.s.Quarantine.AnsweredLately(r.fingerprint, r.s.now())
@@ -89,7 +89,7 @@
 		r.quarantine()
 		return
 	}
-	for _, c := range crashes {
+	for _, c := range crashes[:min(len(crashes), MaxAnnouncedCrashes)] {
 		r.s.onSuspect(r.fingerprint, c)
 	}
 }
@@ -98,7 +98,7 @@
 func (r *run) serviceFails(ctx context.Context) bool {
 	isOwn := r.ownServices()
 	isControl := func(searcher int32) bool {
-		return isOwn(searcher) && !r.s.Quarantine.Suspected(r.fingerprint, r.req.View.Searchers[searcher].Address)
+		return isOwn(searcher) && !r.s.Quarantine.HasCrashed(r.fingerprint, r.req.View.Searchers[searcher].Address)
 	}
 	liveness, _ := r.s.majorityLiveness(ctx, r.req.View, MaxOwnControls, isControl)
 	return liveness == dialer.Dead
--- a/scatterer/forward.go
+++ b/scatterer/forward.go
@@ -67,7 +67,7 @@
 		call.MaxBodyBytes = dialer.MaxPartBytes
 	}
 	call.ProvenOnly = r.req.Forward.AtMostOnce || needsProof(a.Purpose)
-	call.NewConnection = call.NewConnection || r.mayCrash(a.Purpose)
+	call.NewConnection = call.NewConnection || r.mayCrash()
 }
 
 // needsProof reports whether an attempt on a route may only use a connection that was read from lately. Primary attempts
--- a/scatterer/run.go
+++ b/scatterer/run.go
@@ -43,6 +43,7 @@
 	isSampled         bool // the events are kept even if the query is complete without extra attempts
 	shedAttempts      atomic.Int64
 	halfAnsweredAfter atomic.Int64 // nanoseconds from the start; 0 until half of the shards have answered
+	isSuspect         bool         // searchers have crashed that ran the request before
 	quarantined       bool
 	snapshotNotHeld   bool
 }
@@ -59,6 +60,7 @@
 		reachedSearchers: make(map[int32]bool, shards),
 		isSampled:        s.Recorder.Sampled(req.ID),
 	}
+	r.isSuspect = s.Quarantine.IsSuspect(r.fingerprint)
 	policy := req.Index.Policy
 	r.hedgeBudget, r.retryBudget = s.Budgets.For(req.Index.Name, policy.HedgeShare, policy.RetryShare, shards)
 	r.picker = r.newPicker()
