dialer, observer, scatterer: files by concept, and Do in steps

Dialer.Do was one function of 45 lines: it takes a connection, sends, and receives now. One word for a request that was answered: good (news, callbacks). Crashes that are too old are dropped whenever a request's crashes are judged, also when none is added.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -80,8 +80,7 @@
 // Do sends a call on one connection and returns the result. It never sends the call a second time.
 func (d *Dialer) Do(ctx context.Context, call Call) Reply {
 	p := d.pool(call.Address)
-	id := d.wire.answerID(call.Request)
-	c, err := p.take(ctx, d.now(), demand{policy: call.idlePolicy(), minLastRead: d.silence.minLastRead(), id: id, allowed: call.Allowed})
+	c, err := p.take(ctx, d.now(), d.demandOf(&call))
 	if err != nil {
 		return Reply{Fault: gatherer.FaultNotSent, AtLimit: errors.Is(err, errAtLimit), Withheld: errors.Is(err, errWithheld), Err: err}
 	}
@@ -89,13 +88,22 @@
 		p.putUnused(c)
 		return r
 	}
+	return d.send(ctx, p, c, &call)
+}
+
+// demandOf returns what the call needs of its connection.
+func (d *Dialer) demandOf(call *Call) demand {
+	return demand{policy: call.idlePolicy(), minLastRead: d.silence.minLastRead(), id: d.wire.answerID(call.Request), allowed: call.Allowed}
+}
+
+// send sends a call on the connection and reads the answer. It puts the connection back or closes it.
+func (d *Dialer) send(ctx context.Context, p *pool, c *conn, call *Call) (r Reply) {
 	req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(res)
-	d.wire.Fill(req, &call, call.Deadline.Sub(d.now()))
+	d.wire.Fill(req, call, call.Deadline.Sub(d.now()))
 	res.SkipBody = req.Header.IsHead()
-	sent := d.now()
-	aliveAt := c.aliveAt()
-	c.carried.add(id, sent, call.Deadline)
+	sent, aliveAt := d.now(), c.aliveAt()
+	c.carried.add(d.wire.answerID(call.Request), sent, call.Deadline)
 	reserve, giveBack := d.answers.reservation(ctx)
 	defer giveBack()
 	c.reserve = reserve
@@ -103,11 +111,18 @@
 	c.reserve = nil
 	use := c.use()
 	if err != nil {
-		return Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Use: use, AliveAt: aliveAt, Err: err}
+		r = Reply{Fault: d.handleFailure(ctx, p, c, sent, silent, err), Err: err}
+	} else {
+		r = d.receive(p, c, res, call)
 	}
-	call.onNewConn = c.isNew()
-	r := d.decode(res, &call)
 	r.Use, r.AliveAt = use, aliveAt
+	return r
+}
+
+// receive decodes the answer to a call, and puts its connection back or closes it.
+func (d *Dialer) receive(p *pool, c *conn, res *fasthttp.Response, call *Call) Reply {
+	call.onNewConn = c.isNew()
+	r := d.decode(res, call)
 	if r.Fault == gatherer.FaultCrossed || r.Err != nil || c.hasUnreadBytes() {
 		p.retire(c, false, time.Time{})
 	} else {
--- a/gossiper/member.go
+++ b/gossiper/member.go
@@ -65,7 +65,7 @@
 	NewsStoreLost                      // a VM that cannot read the platform's store
 	NewsSuspect                        // a request that may have crashed the searcher at Address; not related to the state Suspect
 	NewsSlow                           // a searcher whose answers take much longer than usual for its service
-	NewsSound                          // a suspect or quarantined request that was answered
+	NewsGood                           // a suspect or quarantined request that was answered
 )
 
 // News is a fact that every VM has to know at once. It concerns a request, given by Fingerprint, or a searcher or VM, given
@@ -132,7 +132,7 @@
 
 func newsFromWire(w *messenger.News) (News, error) {
 	n := News{Kind: NewsKind(w.GetKind()), Fingerprint: w.GetSubject(), Until: time.UnixMilli(w.GetUntilMillis())}
-	if n.Kind < NewsQuarantine || n.Kind > NewsSound {
+	if n.Kind < NewsQuarantine || n.Kind > NewsGood {
 		return News{}, errors.Errorf("news has unknown kind %d", w.GetKind())
 	}
 	if n.Kind == NewsSuspect {
--- a/gossiper/news_test.go
+++ b/gossiper/news_test.go
@@ -16,7 +16,7 @@
 	sent := []News{
 		{Kind: NewsSuspect, Fingerprint: 7, Address: a, Until: until},
 		{Kind: NewsSuspect, Fingerprint: 7, Until: until},
-		{Kind: NewsSound, Fingerprint: 7, Until: until},
+		{Kind: NewsGood, Fingerprint: 7, Until: until},
 	}
 	got := NewsFromWire(NewsToWire(sent))
 	if len(got) != len(sent) {
@@ -27,7 +27,7 @@
 			t.Errorf("news %+v, want %+v", n, sent[i])
 		}
 	}
-	if unknown := NewsFromWire([]*messenger.News{{Kind: uint32(NewsSound) + 1}}); len(unknown) > 0 {
+	if unknown := NewsFromWire([]*messenger.News{{Kind: uint32(NewsGood) + 1}}); len(unknown) > 0 {
 		t.Errorf("news of an unknown kind was read: %+v", unknown)
 	}
 }
--- a/observer/crash.go
+++ b/observer/crash.go
@@ -40,12 +40,8 @@
 	searchers map[netip.AddrPort]time.Time // that crashed while they ran the request, and when last
 }
 
-// add adds a crash and drops what is older than QuarantinePeriod.
-func (s *suspicion) add(c Crash, now time.Time) {
-	s.drop(now.Add(-QuarantinePeriod))
-	if !c.At.After(now.Add(-QuarantinePeriod)) {
-		return
-	}
+// add adds a crash.
+func (s *suspicion) add(c Crash) {
 	s.moments = crashMoments(append(s.moments, c), 0)
 	if len(s.moments) > MaxCrashMoments {
 		s.moments = slices.Delete(s.moments, 0, 1)
--- a/runner/news.go
+++ b/runner/news.go
@@ -21,7 +21,7 @@
 		v.handleQuarantineNews(n, now)
 	case gossiper.NewsSuspect:
 		v.recordToldCrash(n, now)
-	case gossiper.NewsSound:
+	case gossiper.NewsGood:
 		klog.InfoS("request: told that it was answered", "fingerprint", n.Fingerprint)
 		v.quarantine.ToldGood(observer.Fingerprint(n.Fingerprint), now, n.Until.Add(-observer.KnownGoodPeriod))
 	case gossiper.NewsStoreLost:
@@ -91,10 +91,10 @@
 	v.broadcast(gossiper.News{Kind: gossiper.NewsSuspect, Fingerprint: uint64(f), Address: c.Searcher, Until: c.At.Add(observer.QuarantinePeriod)})
 }
 
-// announceSound announces a suspect or quarantined request that was answered.
-func (v *VM) announceSound(f observer.Fingerprint, at time.Time) {
+// announceGood announces a suspect or quarantined request that was answered.
+func (v *VM) announceGood(f observer.Fingerprint, at time.Time) {
 	klog.InfoS("request: suspect one was answered", "fingerprint", uint64(f))
-	v.broadcast(gossiper.News{Kind: gossiper.NewsSound, Fingerprint: uint64(f), Until: at.Add(observer.KnownGoodPeriod)})
+	v.broadcast(gossiper.News{Kind: gossiper.NewsGood, Fingerprint: uint64(f), Until: at.Add(observer.KnownGoodPeriod)})
 }
 
 // broadcast spreads news to the other VMs.
--- a/runner/news_test.go
+++ b/runner/news_test.go
@@ -20,7 +20,7 @@
 		return gossiper.News{Kind: gossiper.NewsSuspect, Fingerprint: uint64(f), Address: a, Until: now.Add(observer.QuarantinePeriod - ago)}
 	}
 	quarantined := gossiper.News{Kind: gossiper.NewsQuarantine, Fingerprint: uint64(f), Until: now.Add(observer.QuarantinePeriod)}
-	sound := gossiper.News{Kind: gossiper.NewsSound, Fingerprint: uint64(f), Until: now.Add(time.Second + observer.KnownGoodPeriod)}
+	good := gossiper.News{Kind: gossiper.NewsGood, Fingerprint: uint64(f), Until: now.Add(time.Second + observer.KnownGoodPeriod)}
 	for _, tt := range []struct {
 		name     string
 		answered bool // on this VM, a minute ago
@@ -29,7 +29,7 @@
 	}{
 		{"found by another VM", false, []gossiper.News{quarantined}, true},
 		{"found by another VM, but answered here", true, []gossiper.News{quarantined}, false},
-		{"found by another VM, and answered there later", false, []gossiper.News{quarantined, sound}, false},
+		{"found by another VM, and answered there later", false, []gossiper.News{quarantined, good}, false},
 		{"one crash of three searchers, told by several VMs", false, []gossiper.News{crash(1, 100*time.Millisecond), crash(2, 90*time.Millisecond), crash(3, 0)}, false},
 		{"crashes one after the other", false, []gossiper.News{crash(1, 30*time.Second), crash(2, 0)}, true},
 		{"two crashes, but answered here", true, []gossiper.News{crash(1, 30*time.Second), crash(2, 0)}, false},
--- a/runner/vm.go
+++ b/runner/vm.go
@@ -189,7 +189,7 @@
 func (v *VM) scattererOptions() []scatterer.Option {
 	options := []scatterer.Option{
 		scatterer.WithOnDraining(v.announceDrainingInBand), scatterer.WithOnQuarantine(v.announceQuarantine),
-		scatterer.WithOnSuspect(v.announceCrash), scatterer.WithOnSound(v.announceSound), scatterer.WithOnSlow(v.announceSlow),
+		scatterer.WithOnSuspect(v.announceCrash), scatterer.WithOnGood(v.announceGood), scatterer.WithOnSlow(v.announceSlow),
 		scatterer.WithPressure(v.admitter.UnderPressure),
 		scatterer.WithOnBackoff(v.reportBackoff),
 	}
--- a/scatterer/crash.go
+++ b/scatterer/crash.go
@@ -9,7 +9,6 @@
 	"github.com/pistachiogap/pistachiogap/dialer"
 	"github.com/pistachiogap/pistachiogap/gatherer"
 	"github.com/pistachiogap/pistachiogap/observer"
-	"github.com/pistachiogap/pistachiogap/planner"
 )
 
 // mayCrash reports whether an attempt on a route belongs to a request that has lost searchers, in this run or before, and is
@@ -112,25 +111,3 @@
 	}
 	return func(searcher int32) bool { return services[r.req.View.Searchers[searcher].Service] }
 }
-
-// majorityLiveness checks at most limit eligible searchers, from a random one on. It returns the liveness that more than
-// half of them have, or Unclear, and how many were checked.
-func (s *Scatterer) majorityLiveness(ctx context.Context, v *planner.View, limit int, eligible func(int32) bool) (dialer.Liveness, int) {
-	count := map[dialer.Liveness]int{}
-	asked := 0
-	offset := s.random(len(v.Searchers))
-	for i := range v.Searchers {
-		n := int32((i + offset) % len(v.Searchers))
-		if asked == limit || !eligible(n) {
-			continue
-		}
-		asked++
-		count[s.Dialer.Check(ctx, v.Searchers[n].Address, CheckTimeout)]++
-	}
-	for _, l := range []dialer.Liveness{dialer.Alive, dialer.Dead} {
-		if 2*count[l] > asked {
-			return l, asked
-		}
-	}
-	return dialer.Unclear, asked
-}
--- a/scatterer/result.go
+++ b/scatterer/result.go
@@ -38,7 +38,7 @@
 		res.Missing = r.query.MissingShards()
 	}
 	if res.Answered > 0 && r.s.Quarantine.RecordGood(r.fingerprint, r.req.Snapshot.ID, now) {
-		r.s.onSound(r.fingerprint, now)
+		r.s.onGood(r.fingerprint, now)
 	}
 	// An unanswered search with a single loss becomes suspect; if that happens again, and not at the same moment, it is
 	// quarantined. For a request on a route see diagnoseLateForward.
--- a/scatterer/scatterer.go
+++ b/scatterer/scatterer.go
@@ -39,7 +39,7 @@
 	divide          func(s *planner.Searcher, perSecond float64) limiter.QuotaPart
 	onQuarantine    func(observer.Fingerprint, time.Time)
 	onSuspect       func(observer.Fingerprint, observer.Crash)
-	onSound         func(observer.Fingerprint, time.Time)
+	onGood          func(observer.Fingerprint, time.Time)
 	spend           func(p gatherer.Purpose, hedges, retries *limiter.Budget) bool
 	hedgeDelay      func(learned time.Duration) time.Duration
 	underPressure   func(now time.Time) bool
@@ -97,9 +97,9 @@
 	return func(s *Scatterer) { s.onSuspect = f }
 }
 
-// WithOnSound sets the callback for a suspect or quarantined request that was answered, with the time of the answer.
-func WithOnSound(f func(observer.Fingerprint, time.Time)) Option {
-	return func(s *Scatterer) { s.onSound = f }
+// WithOnGood sets the callback for a suspect or quarantined request that was answered, with the time of the answer.
+func WithOnGood(f func(observer.Fingerprint, time.Time)) Option {
+	return func(s *Scatterer) { s.onGood = f }
 }
 
 // WithSpend sets the rule that allows or denies an extra attempt.
@@ -149,7 +149,7 @@
 		},
 		onQuarantine:  func(observer.Fingerprint, time.Time) {},
 		onSuspect:     func(observer.Fingerprint, observer.Crash) {},
-		onSound:       func(observer.Fingerprint, time.Time) {},
+		onGood:        func(observer.Fingerprint, time.Time) {},
 		spend:         SpendBudgets,
 		underPressure: func(time.Time) bool { return false },
 		hedgeDelay:    func(learned time.Duration) time.Duration { return learned },
@@ -163,60 +163,6 @@
 // TakeStarvedAttempts returns how many attempts have reached their deadline without a connection since its last call.
 func (s *Scatterer) TakeStarvedAttempts() int { return int(s.starvedAttempts.Swap(0)) }
 
-// Request is one query, or the part of it that this VM runs.
-type Request struct {
-	ID       modeler.RequestID
-	View     *planner.View
-	Index    *planner.Index
-	Snapshot *planner.Snapshot
-	Body     []byte
-	Limit    int
-	Deadline time.Time
-	Forward  *Forward // nil for a search
-}
-
-// Forward is what a request on a route needs beyond a search: the caller's message, which is passed on, and how often
-// it may run.
-type Forward struct {
-	Message     *dialer.Message
-	Patience    time.Time // from here on the least coverage is enough
-	MaxRuns     int       // limit of one shard's attempts that may have run
-	AtMostOnce  bool      // no attempt follows one that may have run
-	Reserve     float64   // fraction of a limited searcher's burst that is left to more urgent routes
-	Fingerprint observer.Fingerprint
-}
-
-// Result is the outcome of a request.
-type Result struct {
-	Snapshot       modeler.SnapshotID
-	Hits           []dialer.Hit
-	Shards         int
-	Answered       int    // shards that answered
-	Documents      uint64 // documents searched
-	TotalDocuments uint64 // documents of the snapshot
-	Missing        []modeler.ShardName
-	Sent           int  // attempts that found a connection
-	Primaries      int  // first attempts of their shard
-	Shed           int  // attempts that searchers refused because of their load
-	Lost           int  // attempts that ended by connection loss
-	Crashed        bool // the request was found to crash searchers
-	NotHeld        bool // the query ended with unanswered shards, and a searcher did not hold the snapshot
-	Refused        bool // set by the caller of Run if no snapshot could be pinned
-
-	ShardReplies []ShardReply  // of a route, in the order of their arrival
-	Rejection    *dialer.Reply // the last error that a searcher answered with
-	MayHaveRun   bool          // a searcher may have run an attempt
-	Faults       gatherer.FaultCounts
-	SearcherWait time.Duration       // if nothing was sent: until searchers that asked for fewer requests take enough again
-	LeftOut      []modeler.ShardName // left out because of overload and unanswered, even if asked after all
-}
-
-// ShardReply is the answer of one shard to a request on a route.
-type ShardReply struct {
-	Shard int32
-	Reply dialer.Reply
-}
-
 // Run scatters the request over the shards of its snapshot and gathers the answers until its deadline.
 func (s *Scatterer) Run(ctx context.Context, req Request) Result {
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
