--- a/observer/crash_test.go
+++ b/observer/crash_test.go
@@ -54,6 +54,9 @@
 			if got != tt.want {
 				t.Errorf("suffices: %v, want %v", got, tt.want)
 			}
+			if q.RecordCrashes(suspect, second(1e6)) || q.IsSuspect(suspect) {
+				t.Error("the request is still suspect long after its crashes")
+			}
 		})
 	}
 }
--- a/observer/quarantine.go
+++ b/observer/quarantine.go
@@ -111,6 +111,7 @@
 		}
 	}
 	if len(s.moments) == 0 {
+		delete(q.suspects, f)
 		return false
 	}
 	makeRoom(q.suspects, f, now, MaxQuarantined)
