server: a withheld request is told when it may come again

Callers of a request that is quarantined got 503 without Retry-After, though the VM knows until when it withholds the request. The answer names the rest of the quarantine now. An earlier end, by an answer elsewhere, is not known when the answer is given.

TestQuarantinedRequestHasOneTrial asks for it; the check failed before: there was no such header.

--- a/observer/quarantine.go
+++ b/observer/quarantine.go
@@ -76,10 +76,13 @@
 }
 
 // Contains reports whether a request is quarantined.
-func (q *Quarantine) Contains(f Fingerprint, now time.Time) bool {
+func (q *Quarantine) Contains(f Fingerprint, now time.Time) bool { return q.Remaining(f, now) > 0 }
+
+// Remaining returns how long a request stays quarantined, or 0 if it is not.
+func (q *Quarantine) Remaining(f Fingerprint, now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return now.Before(q.blocked[f].until)
+	return max(0, q.blocked[f].until.Sub(now))
 }
 
 // TakeTrial reports whether a quarantined request may run once to find out whether it still crashes searchers.
--- a/refuser/table.go
+++ b/refuser/table.go
@@ -28,7 +28,7 @@
 	{CrashedSearchers, http.StatusUnprocessableEntity, No, false, 0, HarmLostAnswer},
 	{UnknownRoute, http.StatusNotFound, Yes, false, 0, HarmNone},
 	{HeaderTooLarge, http.StatusRequestHeaderFieldsTooLarge, Yes, false, 0, HarmNone},
-	{Withheld, http.StatusServiceUnavailable, Yes, false, 0, HarmLostAnswer},
+	{Withheld, http.StatusServiceUnavailable, Yes, true, 10 * time.Minute, HarmLostAnswer},
 	{Unserved, http.StatusBadGateway, Unknown, true, 0, HarmLostAnswer},
 	{NoAnswer, http.StatusGatewayTimeout, Unknown, true, time.Second, HarmLateAnswer},
 	{CallerGone, statusClientClosedRequest, Unknown, true, 0, HarmLostAnswer},
--- a/server/forward.go
+++ b/server/forward.go
@@ -126,11 +126,12 @@
 		rr.deadline = earlierTime(rr.deadline, rr.start.Add(rr.info.Budget-ReturnMargin))
 	}
 	rr.fingerprint = observer.FingerprintOfMessage(rr.route.Index.Name, r.Method, r.RequestURI, rr.body)
-	if !h.Quarantine.Contains(rr.fingerprint, rr.start) {
+	remaining := h.Quarantine.Remaining(rr.fingerprint, rr.start)
+	if remaining == 0 {
 		return nil
 	}
 	if rr.trial = h.Quarantine.TakeTrial(rr.fingerprint, rr.start); !rr.trial {
-		return refuser.New(refuser.Withheld, "this request crashed searchers and is not run")
+		return refuser.New(refuser.Withheld, "this request crashed searchers and is not run").After(remaining)
 	}
 	klog.InfoS("request: trial of a quarantined one", "id", string(rr.info.ID), "fingerprint", uint64(rr.fingerprint))
 	return nil
--- a/server/trial_test.go
+++ b/server/trial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,8 +12,9 @@
 	"github.com/pistachiogap/pistachiogap/scatterer"
 )
 
-// Guards against a sound request that is refused for the whole quarantine, and against trials that crash more than one
-// searcher: one request is let through, to one searcher.
+// Guards against a caller who is not told when a withheld request may be sent again, against a sound request that is
+// refused for the whole quarantine, and against trials that crash more than one searcher: one request is let through, to one
+// searcher.
 func TestQuarantinedRequestHasOneTrial(t *testing.T) {
 	var runs []int
 	h := routeHandler(func(_ context.Context, req scatterer.Request) scatterer.Result {
@@ -26,6 +28,9 @@
 		if n > 0 && w.Code != http.StatusServiceUnavailable {
 			t.Errorf("status %d after the trial, want 503", w.Code)
 		}
+		if after, _ := strconv.ParseFloat(w.Header().Get("Retry-After"), 64); n > 0 && (after < 500 || after > 600) {
+			t.Errorf("Retry-After is %q, want the rest of the quarantine", w.Header().Get("Retry-After"))
+		}
 	}
 	if len(runs) != 1 || runs[0] != 1 {
 		t.Errorf("runs with at most %v searchers each, want one run with one searcher", runs)
